feat: add tables, cache and lease crates

Cause: the repository was empty. Change: names and numbers, the routes and pools tables with checks and versioned edits, a monotonic copy of shared rows, and both sides of an entry's lease, all as pure functions of state and time.

--- /dev/null
+++ b/crates/cyclamen-cache/src/cache.rs
@@ -0,0 +1,86 @@
+//! The cache and its merge rule.
+
+use std::collections::BTreeMap;
+
+use serde::de::DeserializeOwned;
+
+use crate::types::{Delta, Key, Revision, Row};
+
+/// A copy of the shared rows, complete up to one revision.
+#[derive(Debug, Clone, Default)]
+pub struct Cache {
+    as_of: Revision,
+    rows: BTreeMap<Key, Row>,
+}
+
+/// What a merge did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The delta was merged; these keys changed.
+    Merged(Vec<Key>),
+    /// The delta holds nothing newer.
+    Stale,
+    /// The delta begins after the end of this cache; a longer one is needed.
+    Gap,
+}
+
+impl Cache {
+    /// The revision up to which the cache is complete.
+    pub fn as_of(&self) -> Revision {
+        self.as_of
+    }
+
+    /// Merges a delta; rows and the cache's revision never go back.
+    pub fn merge(&mut self, delta: Delta) -> Outcome {
+        if delta.as_of <= self.as_of {
+            return Outcome::Stale;
+        }
+        if delta.since > self.as_of {
+            return Outcome::Gap;
+        }
+        self.as_of = delta.as_of;
+        let changed = delta.rows.into_iter().filter_map(|row| self.put(row));
+        Outcome::Merged(changed.collect())
+    }
+
+    fn put(&mut self, row: Row) -> Option<Key> {
+        let newer = self.rows.get(&row.key).is_none_or(|old| old.revision < row.revision);
+        if !newer {
+            return None;
+        }
+        let key = row.key.clone();
+        self.rows.insert(key.clone(), row);
+        Some(key)
+    }
+
+    /// All rows changed after `since`, for another entry.
+    pub fn changes_since(&self, since: Revision) -> Delta {
+        let newer = self.rows.values().filter(|row| row.revision > since);
+        Delta {
+            since,
+            as_of: self.as_of,
+            rows: newer.cloned().collect(),
+        }
+    }
+
+    /// The row of a key, deleted rows included.
+    pub fn row(&self, key: &Key) -> Option<&Row> {
+        self.rows.get(key)
+    }
+
+    /// The decoded value of a key, if it is present and well formed.
+    pub fn get<T: DeserializeOwned>(&self, key: &Key) -> Option<T> {
+        let text = self.rows.get(key)?.value.as_deref()?;
+        serde_json::from_str(text).ok()
+    }
+
+    /// The present rows under a prefix.
+    pub fn under<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Row> {
+        let from = Key(prefix.into());
+        self.rows
+            .range(from..)
+            .map(|(_, row)| row)
+            .take_while(move |row| row.key.0.starts_with(prefix))
+            .filter(|row| row.value.is_some())
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-cache/src/lib.rs
@@ -0,0 +1,13 @@
+//! A monotonic copy of the platform's shared rows.
+//!
+//! Every entry instance holds a [`Cache`] of the rows under the shared
+//! prefix: the two tables, the entries and the fabric domains. It is filled
+//! from the table service and, while that is down, from other entries. A row
+//! is only ever replaced by one of a higher revision, so that no accepted
+//! configuration reverts, whichever way news arrives.
+
+mod cache;
+mod types;
+
+pub use cache::{Cache, Outcome};
+pub use types::{Delta, Key, Revision, Row};
--- /dev/null
+++ b/crates/cyclamen-tables/src/routes.rs
@@ -0,0 +1,123 @@
+//! The routes table: where requests go, and who may send them.
+
+use std::time::Duration;
+
+use cyclamen_types::{pool, route, team};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::key;
+
+/// The routes table.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Routes {
+    /// The routes, each name once.
+    pub routes: Vec<Route>,
+    /// The teams, each name once.
+    pub teams: Vec<Team>,
+}
+
+impl Routes {
+    /// The route of that name.
+    pub fn get(&self, name: &str) -> Option<&Route> {
+        self.routes.iter().find(|r| r.name.as_str() == name)
+    }
+
+    /// The team that holds an API key; every team is compared, in constant time.
+    pub fn team_of_key(&self, presented: &str) -> Option<&Team> {
+        let digest = key::Digest::of(presented);
+        self.teams.iter().fold(None, |found, team| {
+            let matches = team.keys.iter().fold(false, |any, k| any | digest.matches(k));
+            if matches { Some(team) } else { found }
+        })
+    }
+}
+
+/// A route: the pool that serves the requests of one name.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// The model name, or the first path segment for plain services.
+    pub name: route::Name,
+    /// The pool that serves the route.
+    pub pool: pool::Name,
+    /// Whether a request may be repeated.
+    #[serde(default)]
+    pub repeat: Repeat,
+    /// The priority of the route's requests.
+    #[serde(default)]
+    pub priority: Priority,
+    /// Milliseconds that a request may wait for its first byte.
+    #[serde(default = "default_deadline_ms")]
+    pub deadline_ms: u64,
+}
+
+impl Route {
+    /// The time that a request may wait for its first byte.
+    pub fn deadline(&self) -> Duration {
+        Duration::from_millis(self.deadline_ms)
+    }
+}
+
+fn default_deadline_ms() -> u64 {
+    30_000
+}
+
+/// Whether the requests of a route may be repeated.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeat {
+    /// Requests are idempotent and may be retried.
+    #[default]
+    Idempotent,
+    /// Writing methods are never repeated; `Idempotency-Key` makes them safe to send again.
+    Once,
+}
+
+/// The priority of a request; a higher one is admitted first.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum Priority {
+    /// Work that can wait.
+    Batch,
+    /// Work that a person waits for.
+    #[default]
+    Interactive,
+}
+
+/// A team: its keys and its contract.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// The name of the team.
+    pub name: team::Name,
+    /// SHA-256 digests of the team's API keys, in hexadecimal.
+    pub keys: Vec<key::Digest>,
+    /// The contract of the team.
+    #[serde(default)]
+    pub contract: Contract,
+}
+
+/// What a team may ask of the system.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Contract {
+    /// Requests a second over all entry instances together.
+    pub rate: u32,
+    /// Requests in progress over all entry instances together.
+    pub concurrency: u32,
+    /// The weight of the team when work has to wait.
+    pub share: u32,
+}
+
+impl Default for Contract {
+    fn default() -> Self {
+        Self {
+            rate: 600,
+            concurrency: 600,
+            share: 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-types/src/domain.rs
@@ -0,0 +1,8 @@
+//! Fabric domains: instances joined by one fast network.
+
+use crate::macros::name;
+
+name! {
+    /// The name of a fabric domain.
+    Name
+}
--- /dev/null
+++ b/crates/cyclamen-types/src/group.rs
@@ -0,0 +1,18 @@
+//! Replica groups: the instances that serve one copy of a model together.
+
+use crate::macros::{name, number};
+
+name! {
+    /// The name of a replica group, unique over its lifetime.
+    Id
+}
+
+number! {
+    /// A fencing number; an order with a lower number than one already seen is obsolete.
+    Fence
+}
+
+number! {
+    /// One permission to send a request to a replica group.
+    Ticket
+}
--- /dev/null
+++ b/crates/cyclamen-types/src/zone.rs
@@ -0,0 +1,8 @@
+//! Availability zones.
+
+use crate::macros::name;
+
+name! {
+    /// The name of an availability zone.
+    Name
+}
