feat: add domain, route, claim, http, endpoint and platform crates

Cause: the decisions need one home each before any process is built on them. Change: replica groups and admission of a fabric domain's owner; choice of a domain, limits, retry budget and crash containment at the entry that took the request; claims for calls that may not be repeated; clients of workers and of the platform that tell whether a request may have been sent.

--- a/crates/cyclamen-cache/src/cache.rs
+++ b/crates/cyclamen-cache/src/cache.rs
@@ -44,7 +44,10 @@
     }
 
     fn put(&mut self, row: Row) -> Option<Key> {
-        let newer = self.rows.get(&row.key).is_none_or(|old| old.revision < row.revision);
+        let newer = self
+            .rows
+            .get(&row.key)
+            .is_none_or(|old| old.revision < row.revision);
         if !newer {
             return None;
         }
--- a/crates/cyclamen-cache/src/types.rs
+++ b/crates/cyclamen-cache/src/types.rs
@@ -7,8 +7,9 @@
 use serde::{Deserialize, Serialize};
 
 /// A revision of the table service; every committed transaction has a higher one.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Revision(pub u64);
 
 impl fmt::Display for Revision {
--- /dev/null
+++ b/crates/cyclamen-claim/src/record.rs
@@ -0,0 +1,77 @@
+//! The row of a claim.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use cyclamen_types::entry;
+use serde::{Deserialize, Serialize};
+
+/// One attempt at a call; a random number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Attempt(pub u64);
+
+impl fmt::Display for Attempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Attempt {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// The digest of a call's content; one key stands for one content.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest(pub Arc<str>);
+
+/// The entry that claimed a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claimant {
+    /// The entry.
+    pub entry: entry::Name,
+    /// Its start.
+    pub incarnation: entry::Incarnation,
+}
+
+/// The row of a claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The entry that claimed the call.
+    pub claimant: Claimant,
+    /// Its attempt.
+    pub attempt: Attempt,
+    /// The content of the call.
+    pub digest: Digest,
+    /// How far the attempt is known to have come.
+    pub state: State,
+}
+
+/// How far an attempt is known to have come.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// The attempt may be sent, or has been.
+    Claimed,
+    /// The endpoint answered.
+    Done(Answer),
+    /// The attempt was not sent and never will be.
+    NotRun,
+    /// The attempt was sent and its answer is lost.
+    Unknown,
+}
+
+/// The answer of an endpoint, kept for callers that ask again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub content_type: Arc<str>,
+    /// The body as text.
+    pub body: Arc<str>,
+}
--- a/crates/cyclamen-domain/src/lib.rs
+++ b/crates/cyclamen-domain/src/lib.rs
@@ -1,1 +1,31 @@
-//! Placeholder.
+//! Replica groups and admission within one fabric domain.
+//!
+//! One entry instance at a time owns a fabric domain by its row in the table
+//! service. The owner alone forms the domain's replica groups, watches their
+//! members and admits work to them, so that group membership, cold limits and
+//! drains are decided in one place. Everything here is a function of state,
+//! event and the present time; the process around it does the input and output.
+
+mod admission;
+mod domain;
+mod load;
+mod options;
+mod plan;
+mod queue;
+mod repair;
+mod row;
+mod watch;
+
+pub mod listing;
+pub mod report;
+
+pub use admission::{Answer, Ask, Ending, Grant, Refusal};
+pub use domain::{Domain, Summary};
+pub use listing::Listing;
+pub use options::Options;
+pub use plan::{Order, Step};
+pub use queue::Waiting;
+pub use repair::{Policy, Repair};
+pub use report::Report;
+pub use row::{Fault, Group, Member, Owner, Row};
+pub use watch::Health;
--- /dev/null
+++ b/crates/cyclamen-domain/src/plan.rs
@@ -0,0 +1,354 @@
+//! The next steps towards whole replica groups.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cyclamen_tables::Pools;
+use cyclamen_tables::pools::Kind;
+use cyclamen_types::{Time, domain, group, instance, pool};
+
+use crate::listing::Status;
+use crate::options::Options;
+use crate::repair::Repair;
+use crate::report::Assignment;
+use crate::row::{Group, Member, Row};
+use crate::watch::{Presence, Watch};
+
+/// A step to take.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Write this row, on the condition that the present one still stands.
+    Write(Row),
+    /// Send an order to a worker.
+    Order {
+        /// The instance of the worker.
+        instance: instance::Id,
+        /// Where the worker listens.
+        address: SocketAddr,
+        /// The order.
+        order: Order,
+    },
+}
+
+/// An order to a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Order {
+    /// Join a group.
+    Join {
+        /// The group and the fencing number of the order.
+        assignment: Assignment,
+        /// The pool whose model to load.
+        pool: pool::Name,
+        /// The place in the group, from zero.
+        rank: usize,
+        /// Members of the group.
+        size: usize,
+    },
+    /// Leave any group.
+    Leave {
+        /// The fencing number of the order.
+        fence: group::Fence,
+    },
+}
+
+/// The state that a plan is made from.
+pub(crate) struct Scene<'a> {
+    pub(crate) now: Time,
+    pub(crate) domain: &'a domain::Name,
+    pub(crate) row: &'a Row,
+    pub(crate) watch: &'a Watch,
+    pub(crate) pools: &'a Pools,
+    pub(crate) options: &'a Options,
+}
+
+impl Scene<'_> {
+    /// The row to write, if it differs from the present one.
+    ///
+    /// `idle` tells whether a group has no request in progress.
+    pub(crate) fn row(&self, idle: impl Fn(&Group) -> bool) -> Option<Row> {
+        let mut draft = Draft::new(self);
+        draft.drop_groups(&idle);
+        draft.repair_groups(&idle);
+        draft.form_groups();
+        (draft.row != *self.row).then_some(draft.row)
+    }
+
+    /// The orders that bring workers in line with the row.
+    pub(crate) fn orders(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for group in &self.row.groups {
+            if self.takes_orders(&group.pool) {
+                steps.extend(self.joins(group));
+            }
+        }
+        steps.extend(self.leaves());
+        steps
+    }
+
+    fn takes_orders(&self, pool: &pool::Name) -> bool {
+        self.pools.get(pool).is_some_and(|p| p.kind == Kind::Model)
+    }
+
+    fn joins<'a>(&'a self, group: &'a Group) -> impl Iterator<Item = Step> + 'a {
+        let assignment = Assignment {
+            group: group.id.clone(),
+            fence: group.fence,
+        };
+        group
+            .members
+            .iter()
+            .enumerate()
+            .filter_map(move |(rank, member)| {
+                let report = self.watch.fresh(self.now, &member.instance, self.options)?;
+                let listing = self.watch.listing(&member.instance)?;
+                let matches = report.assignment.as_ref() == Some(&assignment);
+                if matches || report.incarnation != member.incarnation {
+                    return None;
+                }
+                Some(Step::Order {
+                    instance: member.instance.clone(),
+                    address: listing.address,
+                    order: Order::Join {
+                        assignment: assignment.clone(),
+                        pool: group.pool.clone(),
+                        rank,
+                        size: group.members.len(),
+                    },
+                })
+            })
+    }
+
+    fn leaves(&self) -> impl Iterator<Item = Step> + '_ {
+        self.watch.listings().filter_map(|listing| {
+            let report = self
+                .watch
+                .fresh(self.now, &listing.instance, self.options)?;
+            let stray = report.assignment.is_some();
+            if !stray || self.row.group_of(&listing.instance).is_some() {
+                return None;
+            }
+            Some(Step::Order {
+                instance: listing.instance.clone(),
+                address: listing.address,
+                order: Order::Leave {
+                    fence: self.row.fence,
+                },
+            })
+        })
+    }
+}
+
+/// A row in the making.
+struct Draft<'a> {
+    scene: &'a Scene<'a>,
+    row: Row,
+    free: BTreeMap<pool::Name, Vec<Member>>,
+    loading: usize,
+}
+
+impl<'a> Draft<'a> {
+    fn new(scene: &'a Scene<'a>) -> Self {
+        let mut draft = Self {
+            scene,
+            row: scene.row.clone(),
+            free: BTreeMap::new(),
+            loading: 0,
+        };
+        draft.find_free();
+        draft.loading = draft.count_loading();
+        draft
+    }
+
+    fn find_free(&mut self) {
+        let scene = self.scene;
+        for listing in scene.watch.listings() {
+            if self.row.group_of(&listing.instance).is_some() {
+                continue;
+            }
+            if let Some((pool, member)) = self.usable(&listing.instance) {
+                self.free.entry(pool).or_default().push(member);
+            }
+        }
+    }
+
+    /// The pool and present start of an instance that may join a group.
+    fn usable(&self, instance: &instance::Id) -> Option<(pool::Name, Member)> {
+        let scene = self.scene;
+        let listing = scene.watch.listing(instance)?;
+        let report = scene.watch.fresh(scene.now, instance, scene.options)?;
+        let pool = scene.pools.of_service(&listing.service)?;
+        let zone_out = scene.pools.zones_out.contains(&listing.zone);
+        if listing.status == Status::Leaving || zone_out {
+            return None;
+        }
+        let member = Member {
+            instance: instance.clone(),
+            incarnation: report.incarnation,
+        };
+        Some((pool.name.clone(), member))
+    }
+
+    /// Members that load their part of a model at present.
+    fn count_loading(&self) -> usize {
+        let scene = self.scene;
+        let models = self
+            .row
+            .groups
+            .iter()
+            .filter(|g| scene.takes_orders(&g.pool));
+        let members = models.flat_map(|g| &g.members);
+        let loading = |m: &&Member| {
+            let report = scene.watch.fresh(scene.now, &m.instance, scene.options);
+            report.is_some_and(|r| !r.ready)
+        };
+        members.filter(loading).count()
+    }
+
+    fn may_load(&self, pool: &pool::Name) -> bool {
+        !self.scene.takes_orders(pool) || self.loading < self.scene.options.loads_at_once
+    }
+
+    /// Drops groups that have no pool or no members left.
+    fn drop_groups(&mut self, idle: impl Fn(&Group) -> bool) {
+        let scene = self.scene;
+        self.row.groups.retain(|group| {
+            let orphan = scene.pools.get(&group.pool).is_none() && idle(group);
+            let gone =
+                |m: &Member| scene.watch.presence(scene.now, m, scene.options) == Presence::Gone;
+            !orphan && !group.members.iter().all(gone)
+        });
+    }
+
+    fn repair_groups(&mut self, idle: impl Fn(&Group) -> bool) {
+        let ids: Vec<_> = self.row.groups.iter().map(|g| g.id.clone()).collect();
+        for id in ids {
+            let Some(group) = self.row.group(&id).cloned() else {
+                continue;
+            };
+            let idle = idle(&group);
+            if let Some(members) = self.repaired(&group, idle) {
+                self.replace(&id, members);
+            }
+        }
+    }
+
+    /// The members of a group after repair, if they differ.
+    fn repaired(&mut self, group: &Group, idle: bool) -> Option<Vec<Member>> {
+        let mut members = group.members.clone();
+        for member in &mut members {
+            if let Some(other) = self.successor(group, member, idle) {
+                *member = other;
+            }
+        }
+        (members != group.members).then_some(members)
+    }
+
+    /// What takes the place of one member, if anything should and can.
+    fn successor(&mut self, group: &Group, member: &Member, idle: bool) -> Option<Member> {
+        let scene = self.scene;
+        let repair = match scene.watch.presence(scene.now, member, scene.options) {
+            Presence::Present if self.is_leaving(member) && idle => Repair::Replace,
+            Presence::Present => Repair::Wait,
+            Presence::Restarted => return self.usable(&member.instance).map(|(_, m)| m),
+            Presence::Gone => Repair::Replace,
+            Presence::Silent(since) => {
+                let silent = scene.now.since(since);
+                scene.options.repair.decide(silent, scene.options.load_time)
+            }
+        };
+        match repair {
+            Repair::Wait => None,
+            Repair::Replace => self.spare(group),
+        }
+    }
+
+    fn is_leaving(&self, member: &Member) -> bool {
+        let listing = self.scene.watch.listing(&member.instance);
+        listing.is_some_and(|l| l.status == Status::Leaving)
+    }
+
+    /// A free instance, or one of another group that is incomplete too.
+    fn spare(&mut self, group: &Group) -> Option<Member> {
+        if !self.may_load(&group.pool) {
+            return None;
+        }
+        if self.free.get(&group.pool).is_none_or(Vec::is_empty) {
+            self.dissolve_donor(group);
+        }
+        let spare = self.free.get_mut(&group.pool)?.pop()?;
+        self.loading += 1;
+        Some(spare)
+    }
+
+    /// Dissolves the incomplete group with the fewest present members.
+    fn dissolve_donor(&mut self, needy: &Group) {
+        let donors = self
+            .row
+            .groups
+            .iter()
+            .filter(|g| g.id != needy.id && g.pool == needy.pool);
+        let weaker = |g: &&Group| {
+            let present = self.present(g);
+            present < g.members.len() && (present, &g.id) < (self.present(needy), &needy.id)
+        };
+        let donor = donors
+            .filter(weaker)
+            .min_by_key(|g| self.present(g))
+            .cloned();
+        let Some(donor) = donor else {
+            return;
+        };
+        self.row.groups.retain(|g| g.id != donor.id);
+        let usable = donor
+            .members
+            .iter()
+            .filter_map(|m| self.usable(&m.instance));
+        for (pool, member) in usable.collect::<Vec<_>>() {
+            self.free.entry(pool).or_default().push(member);
+        }
+    }
+
+    fn present(&self, group: &Group) -> usize {
+        let scene = self.scene;
+        let present = |m: &&Member| {
+            let presence = scene.watch.presence(scene.now, m, scene.options);
+            presence == Presence::Present && !self.is_leaving(m)
+        };
+        group.members.iter().filter(present).count()
+    }
+
+    fn replace(&mut self, id: &group::Id, members: Vec<Member>) {
+        let fence = self.row.fence.next();
+        if let Some(group) = self.row.groups.iter_mut().find(|g| g.id == *id) {
+            group.members = members;
+            group.fence = fence;
+            self.row.fence = fence;
+        }
+    }
+
+    fn form_groups(&mut self) {
+        for pool in &self.scene.pools.pools {
+            let size = usize::try_from(pool.group_size).unwrap_or(usize::MAX);
+            while self.may_load(&pool.name) && self.form_group(&pool.name, size) {}
+        }
+    }
+
+    fn form_group(&mut self, pool: &pool::Name, size: usize) -> bool {
+        let Some(free) = self.free.get_mut(pool).filter(|f| f.len() >= size) else {
+            return false;
+        };
+        let fence = self.row.fence.next();
+        let Ok(id) = format!("{}-{}", self.scene.domain, fence).parse() else {
+            return false;
+        };
+        self.row.groups.push(Group {
+            id,
+            pool: pool.clone(),
+            fence,
+            members: free.drain(..size).collect(),
+        });
+        self.row.fence = fence;
+        self.loading += size;
+        true
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-domain/src/queue.rs
@@ -0,0 +1,106 @@
+//! Requests that wait for a place, shared fairly between teams.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use cyclamen_tables::routes::Priority;
+use cyclamen_types::team;
+
+use crate::admission::Ask;
+
+/// The virtual cost of one request of a team with share 1.
+const UNIT: u64 = 1 << 20;
+
+/// One waiting request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Waiting(pub u64);
+
+impl fmt::Display for Waiting {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// The waiting requests, by priority and then by start-time fair queueing.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    clock: u64,
+    finish: BTreeMap<team::Name, u64>,
+    waiting: BTreeMap<Place, Ask>,
+    next: u64,
+}
+
+/// The order of service: the higher priority, then the lower tag, then the first to come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    priority: std::cmp::Reverse<Priority>,
+    tag: u64,
+    id: Waiting,
+}
+
+impl Queue {
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Requests that would be served before a new one of the same kind.
+    pub(crate) fn ahead(&self, ask: &Ask) -> usize {
+        let place = self.place(ask);
+        self.waiting
+            .range(..place)
+            .filter(|(_, w)| w.pool == ask.pool)
+            .count()
+    }
+
+    fn place(&self, ask: &Ask) -> Place {
+        let begin = self
+            .finish
+            .get(&ask.team)
+            .copied()
+            .unwrap_or(0)
+            .max(self.clock);
+        Place {
+            priority: std::cmp::Reverse(ask.priority),
+            tag: begin + UNIT / u64::from(ask.share.max(1)),
+            id: Waiting(self.next),
+        }
+    }
+
+    pub(crate) fn push(&mut self, ask: Ask) -> Waiting {
+        let place = self.place(&ask);
+        self.next += 1;
+        self.finish.insert(ask.team.clone(), place.tag);
+        self.waiting.insert(place, ask);
+        place.id
+    }
+
+    pub(crate) fn cancel(&mut self, id: Waiting) {
+        self.waiting.retain(|place, _| place.id != id);
+        self.forget_idle_teams();
+    }
+
+    /// Removes and returns the requests for which `take` decides something.
+    pub(crate) fn drain<T>(
+        &mut self,
+        mut take: impl FnMut(&Ask) -> Option<T>,
+    ) -> Vec<(Waiting, T)> {
+        let mut taken = Vec::new();
+        let mut clock = self.clock;
+        self.waiting.retain(|place, ask| match take(ask) {
+            Some(decision) => {
+                clock = clock.max(place.tag.saturating_sub(UNIT / u64::from(ask.share.max(1))));
+                taken.push((place.id, decision));
+                false
+            }
+            None => true,
+        });
+        self.clock = clock;
+        self.forget_idle_teams();
+        taken
+    }
+
+    fn forget_idle_teams(&mut self) {
+        let clock = self.clock;
+        self.finish.retain(|_, finish| *finish > clock);
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-domain/src/row.rs
@@ -0,0 +1,100 @@
+//! The row of a fabric domain in the table service.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use cyclamen_types::{entry, group, instance, pool};
+use serde::{Deserialize, Serialize};
+
+/// The owner and the replica groups of one fabric domain.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The highest fencing number given out in this domain.
+    pub fence: group::Fence,
+    /// The entry that owns the domain, if any.
+    pub owner: Option<Owner>,
+    /// The replica groups.
+    pub groups: Vec<Group>,
+}
+
+/// One start of an entry instance.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Owner {
+    /// The entry instance.
+    pub entry: entry::Name,
+    /// Its start.
+    pub incarnation: entry::Incarnation,
+}
+
+impl fmt::Display for Owner {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.entry, self.incarnation)
+    }
+}
+
+/// A replica group: the instances that serve one copy together.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Group {
+    /// The group's name.
+    pub id: group::Id,
+    /// The pool that the group belongs to.
+    pub pool: pool::Name,
+    /// The fencing number of the group's current membership.
+    pub fence: group::Fence,
+    /// The members; the first one takes requests.
+    pub members: Vec<Member>,
+}
+
+impl Group {
+    /// Whether the instance is a member.
+    pub fn has(&self, instance: &instance::Id) -> bool {
+        self.members.iter().any(|m| m.instance == *instance)
+    }
+}
+
+/// One start of a worker as a member of a group.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Member {
+    /// The instance.
+    pub instance: instance::Id,
+    /// Its start.
+    pub incarnation: instance::Incarnation,
+}
+
+/// A broken rule of a row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// An instance is a member of two groups.
+    Shared(instance::Id),
+    /// A group's fencing number is higher than the row's.
+    Fence(group::Id),
+}
+
+impl Row {
+    /// The rules that the row breaks.
+    pub fn faults(&self) -> Vec<Fault> {
+        let mut seen = BTreeSet::new();
+        let mut faults = Vec::new();
+        for group in &self.groups {
+            if group.fence > self.fence {
+                faults.push(Fault::Fence(group.id.clone()));
+            }
+            for member in &group.members {
+                if !seen.insert(&member.instance) {
+                    faults.push(Fault::Shared(member.instance.clone()));
+                }
+            }
+        }
+        faults
+    }
+
+    /// The group that an instance is a member of.
+    pub fn group_of(&self, instance: &instance::Id) -> Option<&Group> {
+        self.groups.iter().find(|g| g.has(instance))
+    }
+
+    /// The group of that name.
+    pub fn group(&self, id: &group::Id) -> Option<&Group> {
+        self.groups.iter().find(|g| g.id == *id)
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-peer/schema/peer.capnp
@@ -0,0 +1,108 @@
+@0xb1c7f2a4d9e05361;
+# Calls between entry instances.
+
+struct Owner {
+  entry @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Summary {
+  pool @0 :Text;
+  domain @1 :Text;
+  serving @2 :UInt32;
+  free @3 :UInt32;
+  waitMs @4 :UInt64;
+}
+
+struct Strike {
+  fingerprint @0 :Text;
+  domain @1 :Text;
+  group @2 :Text;
+  fence @3 :UInt64;
+}
+
+struct Row {
+  key @0 :Text;
+  revision @1 :UInt64;
+  present @2 :Bool;
+  value @3 :Text;
+}
+
+struct Delta {
+  since @0 :UInt64;
+  asOf @1 :UInt64;
+  rows @2 :List(Row);
+}
+
+struct News {
+  sender @0 :Owner;
+  asOf @1 :UInt64;
+  summaries @2 :List(Summary);
+  strikes @3 :List(Strike);
+  delta @4 :Delta;
+  # Rows that the receiver lacks, as far as the sender knows.
+}
+
+struct Ask {
+  domain @0 :Text;
+  pool @1 :Text;
+  team @2 :Text;
+  share @3 :UInt32;
+  interactive @4 :Bool;
+  deadlineMs @5 :UInt64;
+  suspect @6 :Bool;
+  patient @7 :Bool;
+  holder @8 :Owner;
+  traceparent @9 :Text;
+}
+
+struct Grant {
+  ticket @0 :UInt64;
+  group @1 :Text;
+  fence @2 :UInt64;
+  instance @3 :Text;
+  address @4 :Text;
+  startWithinMs @5 :UInt64;
+}
+
+struct Answer {
+  union {
+    granted @0 :Grant;
+    notServing @1 :Void;
+    notOwner @2 :Void;
+    busyMs @3 :UInt64;
+    lateMs @4 :UInt64;
+  }
+  summary @5 :Summary;
+  # The state of the pool after this answer.
+  hasSummary @6 :Bool;
+}
+
+struct Release {
+  domain @0 :Text;
+  ticket @1 :UInt64;
+  union {
+    wholeMs @2 :UInt64;
+    unused @3 :Void;
+    failed @4 :Void;
+  }
+}
+
+enum Fate {
+  claiming @0;
+  sent @1;
+  abandoned @2;
+  forgotten @3;
+}
+
+interface Gate {
+  # The first object of a connection.
+  enter @0 (secret :Text) -> (entry :Entry);
+}
+
+interface Entry {
+  gossip @0 (news :News) -> (news :News);
+  admit @1 (ask :Ask) -> (answer :Answer);
+  release @2 (releases :List(Release)) -> ();
+  fate @3 (attempt :UInt64) -> (fate :Fate);
+}
--- /dev/null
+++ b/crates/cyclamen-platform/src/client.rs
@@ -0,0 +1,75 @@
+//! The client of the table service and the instance list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cyclamen_cache::{Delta, Key, Revision, Row};
+use cyclamen_http::Caller;
+use serde::Serialize;
+
+use crate::error::Error;
+use crate::instances::List;
+use crate::transaction::{Outcome, Transaction};
+
+/// Where the platform is and how long it may take.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// The address of the platform's services.
+    pub address: SocketAddr,
+    /// The time for one call.
+    pub timeout: Duration,
+}
+
+/// The client of the platform's services.
+#[derive(Debug, Clone)]
+pub struct Client {
+    caller: Caller,
+    options: Options,
+}
+
+#[derive(Debug, Serialize)]
+struct Read {
+    keys: Vec<Key>,
+}
+
+impl Client {
+    /// A client that shares the caller's connections.
+    pub fn new(caller: Caller, options: Options) -> Self {
+        Self { caller, options }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.options.address)
+    }
+
+    /// Commits a transaction.
+    pub async fn transact(&self, transaction: &Transaction) -> Result<Outcome, Error> {
+        let url = self.url("/table/transact");
+        Ok(self
+            .caller
+            .post_json(&url, transaction, self.options.timeout)
+            .await?)
+    }
+
+    /// Reads rows; rows that were never written are left out.
+    pub async fn read(&self, keys: impl IntoIterator<Item = Key>) -> Result<Vec<Row>, Error> {
+        let keys = keys.into_iter().collect();
+        let url = self.url("/table/read");
+        Ok(self
+            .caller
+            .post_json(&url, &Read { keys }, self.options.timeout)
+            .await?)
+    }
+
+    /// Reads the rows under a prefix that changed after a revision.
+    pub async fn changes(&self, prefix: &str, since: Revision) -> Result<Delta, Error> {
+        let url = self.url(&format!("/table/changes?prefix={prefix}&since={since}"));
+        Ok(self.caller.get_json(&url, self.options.timeout).await?)
+    }
+
+    /// Reads the list of instances.
+    pub async fn instances(&self) -> Result<List, Error> {
+        let url = self.url("/instances");
+        Ok(self.caller.get_json(&url, self.options.timeout).await?)
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-platform/src/error.rs
@@ -0,0 +1,32 @@
+//! Errors of the platform's services.
+
+use std::fmt;
+
+/// Why a call to the platform has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Error {
+    /// The call did not reach the service.
+    Unreachable,
+    /// The call may have taken effect.
+    Lost,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unreachable => "the platform cannot be reached",
+            Self::Lost => "the platform's answer was lost",
+        })
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<cyclamen_http::Error> for Error {
+    fn from(error: cyclamen_http::Error) -> Self {
+        match error {
+            cyclamen_http::Error::NotSent => Self::Unreachable,
+            _ => Self::Lost,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-platform/src/transaction.rs
@@ -0,0 +1,64 @@
+//! Transactions of the table service.
+
+use std::sync::Arc;
+
+use cyclamen_cache::{Key, Revision};
+use serde::{Deserialize, Serialize};
+
+/// A condition on one row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Condition {
+    /// The row.
+    pub key: Key,
+    /// The revision that it must have; zero if it must be absent.
+    pub revision: Revision,
+}
+
+/// A write of one row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Write {
+    /// The row.
+    pub key: Key,
+    /// The new value as JSON text, or nothing to delete the row.
+    pub value: Option<Arc<str>>,
+}
+
+/// Writes that take effect together if every condition holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Transaction {
+    /// The conditions.
+    pub conditions: Vec<Condition>,
+    /// The writes.
+    pub writes: Vec<Write>,
+}
+
+impl Transaction {
+    /// Adds the condition that a row has this revision, or is absent for zero.
+    pub fn when(mut self, key: Key, revision: Revision) -> Self {
+        self.conditions.push(Condition { key, revision });
+        self
+    }
+
+    /// Adds the write of a value.
+    pub fn put(mut self, key: Key, value: &impl Serialize) -> Self {
+        let value = serde_json::to_string(value).ok().map(Arc::from);
+        self.writes.push(Write { key, value });
+        self
+    }
+
+    /// Adds the deletion of a row.
+    pub fn delete(mut self, key: Key) -> Self {
+        self.writes.push(Write { key, value: None });
+        self
+    }
+}
+
+/// What became of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The writes took effect at this revision.
+    Committed(Revision),
+    /// The conditions on these rows did not hold.
+    Conflict(Vec<Key>),
+}
--- a/crates/cyclamen-tables/src/check.rs
+++ b/crates/cyclamen-tables/src/check.rs
@@ -58,7 +58,10 @@
             faults.push(Fault::new(at("group_size"), "is not 1 for a plain service"));
         }
         if pool.limits.cold == 0 || pool.limits.cold > pool.limits.warm {
-            faults.push(Fault::new(at("limits.cold"), "is not between 1 and limits.warm"));
+            faults.push(Fault::new(
+                at("limits.cold"),
+                "is not between 1 and limits.warm",
+            ));
         }
     }
 }
--- a/crates/cyclamen-tables/src/edit.rs
+++ b/crates/cyclamen-tables/src/edit.rs
@@ -8,8 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 /// The version of a table; each accepted edit has the next one.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-#[derive(Serialize, Deserialize, JsonSchema)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema,
+)]
 pub struct Version(pub u64);
 
 impl Version {
--- a/crates/cyclamen-tables/src/routes.rs
+++ b/crates/cyclamen-tables/src/routes.rs
@@ -28,7 +28,10 @@
     pub fn team_of_key(&self, presented: &str) -> Option<&Team> {
         let digest = key::Digest::of(presented);
         self.teams.iter().fold(None, |found, team| {
-            let matches = team.keys.iter().fold(false, |any, k| any | digest.matches(k));
+            let matches = team
+                .keys
+                .iter()
+                .fold(false, |any, k| any | digest.matches(k));
             if matches { Some(team) } else { found }
         })
     }
@@ -76,8 +79,9 @@
 }
 
 /// The priority of a request; a higher one is admitted first.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-#[derive(Serialize, Deserialize, JsonSchema)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema,
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum Priority {
     /// Work that can wait.
