--- /dev/null
+++ b/crates/cyclamen-peer/src/decode.rs
@@ -0,0 +1,161 @@
+//! Messages from their wire form.
+
+use std::fmt::Display;
+use std::str::FromStr;
+use std::time::Duration;
+
+use capnp::Error;
+use cyclamen_cache::{Delta, Key, Revision, Row};
+use cyclamen_claim::Fate;
+use cyclamen_domain::{Ending, Grant, Owner};
+use cyclamen_route::board::Summary;
+use cyclamen_route::suspect::{Crash, Strike};
+use cyclamen_tables::routes::Priority;
+use cyclamen_types::{entry, group};
+
+use crate::message::{Admission, Answer, Ask, News, Notice, Release};
+use crate::peer_capnp as wire;
+
+fn text<T: FromStr<Err: Display>>(reader: capnp::text::Reader<'_>) -> Result<T, Error> {
+    let text = reader.to_str()?;
+    text.parse()
+        .map_err(|e: T::Err| Error::failed(e.to_string()))
+}
+
+fn owner(from: wire::owner::Reader<'_>) -> Result<Owner, Error> {
+    Ok(Owner {
+        entry: text(from.get_entry()?)?,
+        incarnation: entry::Incarnation(from.get_incarnation()),
+    })
+}
+
+fn notice(from: wire::summary::Reader<'_>) -> Result<Notice, Error> {
+    Ok(Notice {
+        pool: text(from.get_pool()?)?,
+        domain: text(from.get_domain()?)?,
+        summary: Summary {
+            serving: from.get_serving(),
+            free: from.get_free(),
+            wait_ms: from.get_wait_ms(),
+        },
+    })
+}
+
+fn strike(from: wire::strike::Reader<'_>) -> Result<Strike, Error> {
+    Ok(Strike {
+        fingerprint: text(from.get_fingerprint()?)?,
+        crash: Crash {
+            domain: text(from.get_domain()?)?,
+            group: text(from.get_group()?)?,
+            fence: group::Fence(from.get_fence()),
+        },
+    })
+}
+
+fn row(from: wire::row::Reader<'_>) -> Result<Row, Error> {
+    let value = from.get_value()?.to_str()?;
+    Ok(Row {
+        key: Key(from.get_key()?.to_str()?.into()),
+        revision: Revision(from.get_revision()),
+        value: from.get_present().then(|| value.into()),
+    })
+}
+
+fn delta(from: wire::delta::Reader<'_>) -> Result<Delta, Error> {
+    Ok(Delta {
+        since: Revision(from.get_since()),
+        as_of: Revision(from.get_as_of()),
+        rows: from.get_rows()?.iter().map(row).collect::<Result<_, _>>()?,
+    })
+}
+
+pub(crate) fn news(from: wire::news::Reader<'_>) -> Result<News, Error> {
+    Ok(News {
+        sender: owner(from.get_sender()?)?,
+        as_of: Revision(from.get_as_of()),
+        summaries: from
+            .get_summaries()?
+            .iter()
+            .map(notice)
+            .collect::<Result<_, _>>()?,
+        strikes: from
+            .get_strikes()?
+            .iter()
+            .map(strike)
+            .collect::<Result<_, _>>()?,
+        delta: delta(from.get_delta()?)?,
+    })
+}
+
+pub(crate) fn ask(from: wire::ask::Reader<'_>) -> Result<Ask, Error> {
+    let interactive = from.get_interactive();
+    Ok(Ask {
+        domain: text(from.get_domain()?)?,
+        pool: text(from.get_pool()?)?,
+        team: text(from.get_team()?)?,
+        share: from.get_share(),
+        priority: if interactive {
+            Priority::Interactive
+        } else {
+            Priority::Batch
+        },
+        time_left: Duration::from_millis(from.get_deadline_ms()),
+        suspect: from.get_suspect(),
+        patient: from.get_patient(),
+        holder: owner(from.get_holder()?)?,
+        traceparent: from.get_traceparent()?.to_str()?.into(),
+    })
+}
+
+fn grant(from: wire::grant::Reader<'_>) -> Result<Grant, Error> {
+    Ok(Grant {
+        ticket: group::Ticket(from.get_ticket()),
+        group: text(from.get_group()?)?,
+        fence: group::Fence(from.get_fence()),
+        instance: text(from.get_instance()?)?,
+        address: text(from.get_address()?)?,
+        start_within: Duration::from_millis(from.get_start_within_ms()),
+    })
+}
+
+pub(crate) fn answer(from: wire::answer::Reader<'_>) -> Result<Answer, Error> {
+    let summary = from
+        .get_has_summary()
+        .then(|| notice(from.get_summary()?))
+        .transpose()?;
+    let admission = match from.which()? {
+        wire::answer::Granted(granted) => Admission::Granted(grant(granted?)?),
+        wire::answer::NotServing(()) => Admission::NotServing,
+        wire::answer::NotOwner(()) => Admission::NotOwner,
+        wire::answer::BusyMs(ms) => Admission::Busy(Duration::from_millis(ms)),
+        wire::answer::LateMs(ms) => Admission::Late(Duration::from_millis(ms)),
+    };
+    Ok(Answer { admission, summary })
+}
+
+pub(crate) fn releases(
+    from: capnp::struct_list::Reader<'_, wire::release::Owned>,
+) -> Result<Vec<Release>, Error> {
+    from.iter().map(release).collect()
+}
+
+fn release(from: wire::release::Reader<'_>) -> Result<Release, Error> {
+    Ok(Release {
+        domain: text(from.get_domain()?)?,
+        ticket: group::Ticket(from.get_ticket()),
+        ending: match from.which()? {
+            wire::release::WholeMs(ms) => Ending::Whole(Duration::from_millis(ms)),
+            wire::release::Unused(()) => Ending::Unused,
+            wire::release::Failed(()) => Ending::Failed,
+        },
+    })
+}
+
+pub(crate) fn fate(fate: wire::Fate) -> Fate {
+    match fate {
+        wire::Fate::Claiming => Fate::Claiming,
+        wire::Fate::Sent => Fate::Sent,
+        wire::Fate::Abandoned => Fate::Abandoned,
+        wire::Fate::Forgotten => Fate::Forgotten,
+    }
+}
