--- a/crates/cyclamen-cache/src/cache.rs
+++ b/crates/cyclamen-cache/src/cache.rs
@@ -43,6 +43,11 @@
         Outcome::Merged(changed.collect())
     }
 
+    /// Takes note of a row that this process has just written.
+    pub fn wrote(&mut self, row: Row) {
+        self.put(row);
+    }
+
     fn put(&mut self, row: Row) -> Option<Key> {
         let newer = self
             .rows
--- a/crates/cyclamen-claim/src/attempts.rs
+++ b/crates/cyclamen-claim/src/attempts.rs
@@ -68,8 +68,12 @@
     }
 
     /// Takes note that a sent call certainly did not run, by the endpoint's own word.
-    pub fn refused_by_endpoint(&mut self, now: Time, attempt: Attempt) {
-        self.set(now, attempt, Fate::Abandoned);
+    ///
+    /// The claim is still held, and the call may be sent again.
+    pub fn recall(&mut self, now: Time, attempt: Attempt) {
+        if self.fate(attempt) == Fate::Sent {
+            self.set(now, attempt, Fate::Claiming);
+        }
     }
 
     /// What has become of an attempt.
--- a/crates/cyclamen-claim/src/decision.rs
+++ b/crates/cyclamen-claim/src/decision.rs
@@ -5,7 +5,7 @@
 
 /// What to do about a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Decision {
+pub(crate) enum Decision {
     /// Write the claim, on the condition that the row is as it was read.
     Claim,
     /// The claim is this attempt's own; its write was answered late.
@@ -26,7 +26,7 @@
 ///
 /// `fate` is the claimant's answer about the attempt in that row, if it was
 /// asked and answered.
-pub fn decide(
+pub(crate) fn decide(
     row: Option<&Record>,
     attempt: Attempt,
     digest: &Digest,
--- a/crates/cyclamen-claim/src/lib.rs
+++ b/crates/cyclamen-claim/src/lib.rs
@@ -9,8 +9,9 @@
 
 mod attempts;
 mod decision;
+mod flow;
 mod record;
 
 pub use attempts::{Attempts, Fate};
-pub use decision::{Decision, decide};
+pub use flow::{Action, Event, Flow, Refusal};
 pub use record::{Answer, Attempt, Claimant, Digest, Record, State};
--- a/crates/cyclamen-domain/src/admission.rs
+++ b/crates/cyclamen-domain/src/admission.rs
@@ -12,6 +12,10 @@
 /// A request for admission.
 #[derive(Debug, Clone)]
 pub struct Ask {
+    /// The ticket to issue, a random number drawn by the holder.
+    ///
+    /// The holder can give it back even if it never learns that it was issued.
+    pub ticket: group::Ticket,
     /// The pool to be served by.
     pub pool: pool::Name,
     /// The caller's team.
@@ -44,7 +48,7 @@
 /// The permission to send one request to a group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Grant {
-    /// The ticket to give back at the end.
+    /// The ticket that was asked for.
     pub ticket: group::Ticket,
     /// The group.
     pub group: group::Id,
--- a/crates/cyclamen-domain/src/domain.rs
+++ b/crates/cyclamen-domain/src/domain.rs
@@ -21,8 +21,6 @@
 const FIRST_SERVICE_TIME: Duration = Duration::from_secs(2);
 /// The weight of one more sample in the mean service time is one part in this many.
 const SERVICE_TIME_WINDOW: u32 = 16;
-/// Tickets of one fencing number of the domain.
-const TICKETS_PER_FENCE: u64 = 1 << 24;
 
 /// A fabric domain as its owner sees it.
 #[derive(Debug)]
@@ -35,7 +33,6 @@
     loads: BTreeMap<group::Id, Load>,
     serving: BTreeSet<group::Id>,
     queue: Queue,
-    next_ticket: group::Ticket,
     ordered: BTreeMap<instance::Id, Time>,
     service_time: Duration,
 }
@@ -65,7 +62,6 @@
             loads: BTreeMap::new(),
             serving: BTreeSet::new(),
             queue: Queue::default(),
-            next_ticket: group::Ticket::default(),
             ordered: BTreeMap::new(),
             service_time: FIRST_SERVICE_TIME,
         }
@@ -93,7 +89,6 @@
         }
         self.mine = mine;
         self.row = row;
-        self.next_ticket.0 = self.next_ticket.0.max(self.row.fence.0 * TICKETS_PER_FENCE);
         let from = if gained {
             now + self.options.start_within
         } else {
@@ -189,26 +184,26 @@
         answers
     }
 
-    /// Takes a waiting request out of the queue.
-    pub fn cancel(&mut self, waiting: Waiting) {
-        self.queue.cancel(waiting);
-    }
-
-    /// Takes a ticket back.
+    /// Takes a ticket back, whether it was issued or is still waited for.
     pub fn release(&mut self, now: Time, ticket: group::Ticket, ending: Ending, pools: &Pools) {
+        self.queue.retain(|ask| ask.ticket != ticket);
         for (id, load) in &mut self.loads {
             let Some(issued) = load.tickets.remove(&ticket) else {
                 continue;
             };
-            let Some(pool) = self.row.group(id).map(|g| &g.pool) else {
+            let Some(group) = self.row.group(id) else {
                 return;
             };
-            if let Ending::Whole(first_byte) = ending {
-                if first_byte > limits_of(pools, pool).slow_start() {
-                    load.chill(now);
+            match ending {
+                Ending::Whole(first_byte) => {
+                    if first_byte > limits_of(pools, &group.pool).slow_start() {
+                        load.chill(now);
+                    }
+                    let sample = now.since(issued.at);
+                    self.service_time = smoothed(self.service_time, sample);
                 }
-                let sample = now.since(issued.at);
-                self.service_time = smoothed(self.service_time, sample);
+                Ending::Failed => self.watch.doubt(now, group),
+                Ending::Unused => {}
             }
             return;
         }
@@ -216,6 +211,7 @@
 
     /// Takes back the tickets of entries that are no longer there.
     pub fn sweep(&mut self, alive: impl Fn(&Owner) -> bool) {
+        self.queue.retain(|ask| alive(&ask.holder));
         for load in self.loads.values_mut() {
             load.tickets.retain(|_, issued| alive(&issued.holder));
         }
@@ -317,14 +313,13 @@
         let (group, _) = fitting.max_by_key(|(_, load)| load.free(now, &limits))?;
         let first = group.members.first()?;
         let grant = Grant {
-            ticket: self.next_ticket,
+            ticket: ask.ticket,
             group: group.id.clone(),
             fence: group.fence,
             instance: first.instance.clone(),
             address: self.watch.listing(&first.instance)?.address,
             start_within: self.options.start_within,
         };
-        self.next_ticket = self.next_ticket.next();
         let issued = Issued {
             at: now,
             holder: ask.holder.clone(),
--- a/crates/cyclamen-domain/src/queue.rs
+++ b/crates/cyclamen-domain/src/queue.rs
@@ -74,8 +74,8 @@
         place.id
     }
 
-    pub(crate) fn cancel(&mut self, id: Waiting) {
-        self.waiting.retain(|place, _| place.id != id);
+    pub(crate) fn retain(&mut self, keep: impl Fn(&Ask) -> bool) {
+        self.waiting.retain(|_, ask| keep(ask));
         self.forget_idle_teams();
     }
 
--- a/crates/cyclamen-domain/src/watch.rs
+++ b/crates/cyclamen-domain/src/watch.rs
@@ -27,6 +27,7 @@
 pub(crate) struct Watch {
     listings: BTreeMap<instance::Id, Listing>,
     sights: BTreeMap<instance::Id, Sight>,
+    doubts: BTreeMap<instance::Id, Time>,
 }
 
 #[derive(Debug)]
@@ -63,6 +64,14 @@
         }
     }
 
+    /// Disbelieves a group's members until they answer a question asked after `now`.
+    pub(crate) fn doubt(&mut self, now: Time, group: &Group) {
+        for member in &group.members {
+            let doubted = self.doubts.entry(member.instance.clone()).or_insert(now);
+            *doubted = now.max(*doubted);
+        }
+    }
+
     pub(crate) fn listing(&self, instance: &instance::Id) -> Option<&Listing> {
         self.listings.get(instance)
     }
@@ -79,7 +88,11 @@
         options: &Options,
     ) -> Option<&Report> {
         let sight = self.sights.get(instance)?;
-        (now.since(sight.asked) <= options.silence).then_some(&sight.report)
+        let believed = self
+            .doubts
+            .get(instance)
+            .is_none_or(|doubt| sight.asked >= *doubt);
+        (believed && now.since(sight.asked) <= options.silence).then_some(&sight.report)
     }
 
     pub(crate) fn presence(&self, now: Time, member: &Member, options: &Options) -> Presence {
--- /dev/null
+++ b/crates/cyclamen-entry/src/caller/refusal.rs
@@ -0,0 +1,133 @@
+//! Answers to callers that are not the answer they asked for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cyclamen_endpoint::OUTCOME_HEADER;
+use serde::Serialize;
+use serde_json::json;
+use trillium::{Conn, KnownHeaderName};
+
+use crate::node;
+
+/// What became of a request that has no whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Outcome {
+    /// It certainly did not run.
+    NotRun,
+    /// It may or may not have run.
+    Unknown,
+    /// It ran or was looked at, and failed.
+    Failed,
+}
+
+impl Outcome {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => cyclamen_endpoint::NOT_RUN,
+            Self::Unknown => "unknown",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+/// An answer that is not the one asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    pub(crate) status: u16,
+    pub(crate) code: &'static str,
+    pub(crate) message: Arc<str>,
+    pub(crate) outcome: Outcome,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A request that is wrong in itself and was not run.
+    pub(crate) fn invalid(status: u16, code: &'static str, message: impl Into<Arc<str>>) -> Self {
+        Self {
+            status,
+            code,
+            message: message.into(),
+            outcome: Outcome::NotRun,
+            retry_after: None,
+        }
+    }
+
+    /// A request that was not run for now.
+    pub(crate) fn not_now(status: u16, code: &'static str, retry_after: Duration) -> Self {
+        Self {
+            status,
+            code,
+            message: "the request was not run; come back later".into(),
+            outcome: Outcome::NotRun,
+            retry_after: Some(retry_after),
+        }
+    }
+
+    /// A request whose fate is not known.
+    pub(crate) fn unknown(message: &str, retry_after: Option<Duration>) -> Self {
+        Self {
+            status: 502,
+            code: "outcome_unknown",
+            message: message.into(),
+            outcome: Outcome::Unknown,
+            retry_after,
+        }
+    }
+
+    /// A request that ran without a whole answer.
+    pub(crate) fn failed(code: &'static str, message: &str, retry_after: Option<Duration>) -> Self {
+        Self {
+            status: 502,
+            code,
+            message: message.into(),
+            outcome: Outcome::Failed,
+            retry_after,
+        }
+    }
+
+    /// The refusal as JSON in the shape of OpenAI's errors.
+    pub(crate) fn json(&self) -> serde_json::Value {
+        let kind = if self.status < 500 {
+            "invalid_request_error"
+        } else {
+            "server_error"
+        };
+        json!({
+            "error": {
+                "message": &*self.message,
+                "type": kind,
+                "code": self.code,
+                "outcome": self.outcome,
+            }
+        })
+    }
+
+    pub(crate) fn answer(self, conn: Conn) -> Conn {
+        let mut conn = conn
+            .with_status(self.status)
+            .with_response_header(KnownHeaderName::ContentType, "application/json")
+            .with_response_header(OUTCOME_HEADER, self.outcome.as_str())
+            .with_body(self.json().to_string());
+        if let Some(wait) = self.retry_after {
+            conn = conn.with_response_header(KnownHeaderName::RetryAfter, seconds(wait));
+        }
+        conn.halt()
+    }
+}
+
+impl From<node::Refusal> for Refusal {
+    fn from(refusal: node::Refusal) -> Self {
+        match refusal {
+            node::Refusal::NotServing(wait) => Self::not_now(503, "no_endpoint", wait),
+            node::Refusal::Busy(wait) => Self::not_now(503, "overloaded", wait),
+            node::Refusal::Late(wait) => Self::not_now(503, "deadline", wait),
+        }
+    }
+}
+
+/// Whole seconds, at least one.
+fn seconds(wait: Duration) -> String {
+    wait.as_millis().div_ceil(1_000).max(1).to_string()
+}
--- /dev/null
+++ b/crates/cyclamen-entry/src/caller/request.rs
@@ -0,0 +1,72 @@
+//! Reading a caller's request.
+
+use std::sync::Arc;
+
+use cyclamen_tables::{Route, Team};
+use rand::Rng;
+use smol::Timer;
+use smol::future::or;
+use trillium::{Conn, KnownHeaderName};
+
+use crate::caller::refusal::Refusal;
+use crate::node::Node;
+use crate::settings::span;
+
+/// The longest id that a caller may give its request, in bytes.
+const ID_LIMIT: usize = 128;
+
+/// The team whose key the caller presents.
+pub(crate) fn team(node: &Node, conn: &Conn) -> Result<Team, Refusal> {
+    let header = conn
+        .request_headers()
+        .get_str(KnownHeaderName::Authorization);
+    let key = header
+        .and_then(|h| h.strip_prefix("Bearer "))
+        .unwrap_or_default();
+    let routes = node.state().routes.clone();
+    let team = routes.body.team_of_key(key).cloned();
+    team.ok_or_else(|| Refusal::invalid(401, "invalid_api_key", "no team has this API key"))
+}
+
+/// The route of that name.
+pub(crate) fn route(node: &Node, name: &str) -> Result<Route, Refusal> {
+    let routes = node.state().routes.clone();
+    let route = routes.body.get(name).cloned();
+    route.ok_or_else(|| Refusal::invalid(404, "unknown_route", "no route has this name"))
+}
+
+/// The whole body, within the bounds of size and time.
+pub(crate) async fn body(node: &Node, conn: &mut Conn) -> Result<Vec<u8>, Refusal> {
+    let bounds = node.settings.bounds;
+    let reading = async {
+        let body = conn.request_body().with_max_len(bounds.body_bytes);
+        body.read_bytes().await.map_err(|error| match error {
+            trillium_http::Error::ReceivedBodyTooLong(_) => {
+                Refusal::invalid(413, "too_large", "the body is too large")
+            }
+            _ => Refusal::invalid(400, "bad_body", "the body cannot be read"),
+        })
+    };
+    let late = async {
+        Timer::after(span(bounds.body_ms)).await;
+        Err(Refusal::invalid(408, "slow_body", "the body took too long"))
+    };
+    or(reading, late).await
+}
+
+/// The caller's id of the request, or a new one.
+pub(crate) fn id(node: &Node, conn: &Conn) -> Arc<str> {
+    let given = conn
+        .request_headers()
+        .get_str(cyclamen_endpoint::REQUEST_ID_HEADER);
+    let usable = |id: &&str| !id.is_empty() && id.len() <= ID_LIMIT && id.is_ascii();
+    match given.filter(usable) {
+        Some(id) => id.into(),
+        None => format!("{:032x}", node.state().rng.random::<u128>()).into(),
+    }
+}
+
+/// The caller's trace context.
+pub(crate) fn traceparent(conn: &Conn) -> Option<&str> {
+    conn.request_headers().get_str("traceparent")
+}
--- a/crates/cyclamen-entry/src/lib.rs
+++ b/crates/cyclamen-entry/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! The entry instance: the process between callers and endpoints.
+//!
+//! The decisions are made by the crates below this one. Here are the process
+//! around them: the listeners for callers, operators and other entries, the
+//! tasks that keep the node's state up to date, and its start and shutdown.
+
+mod caller;
+mod clock;
+mod node;
+mod operator;
+mod run;
+mod tasks;
+mod telemetry;
+
+pub mod settings;
+
+pub use operator::Status;
+pub use run::{Handle, run, start};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/cyclamen-entry/src/node/admission.rs
@@ -0,0 +1,395 @@
+//! Admission of requests, by this entry's own domains or by other owners.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cyclamen_domain::{self as domains, Answer, Ending, Grant, Owner};
+use cyclamen_peer::message::{Admission, Notice};
+use cyclamen_peer::{Ask, Pending, Release};
+use cyclamen_route::board;
+use cyclamen_tables::routes::Priority;
+use cyclamen_types::{Time, domain, group, pool, team};
+use futures::channel::oneshot;
+use rand::Rng;
+use smol::Timer;
+use smol::future::or;
+
+use crate::node::{Node, State};
+use crate::telemetry::Hop;
+
+/// Domains that one request asks at the most, each once.
+const ASK_LIMIT: usize = 4;
+/// When to come back if no domain is known to serve.
+const NOT_SERVING_RETRY: Duration = Duration::from_secs(5);
+
+/// What a request needs of admission.
+#[derive(Debug, Clone)]
+pub(crate) struct Request {
+    pub(crate) pool: pool::Name,
+    pub(crate) team: team::Name,
+    pub(crate) share: u32,
+    pub(crate) priority: Priority,
+    pub(crate) deadline: Time,
+    pub(crate) suspect: bool,
+}
+
+/// Why a request was not admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// No group serves the pool.
+    NotServing(Duration),
+    /// Every place is taken.
+    Busy(Duration),
+    /// The deadline cannot be met.
+    Late(Duration),
+}
+
+/// A granted ticket, given back when it is dropped.
+pub(crate) struct Admitted {
+    pub(crate) grant: Grant,
+    pub(crate) domain: domain::Name,
+    pub(crate) at: Time,
+    ending: Ending,
+    node: Arc<Node>,
+}
+
+impl Admitted {
+    /// How the request ended, to be told to the owner.
+    pub(crate) fn end(&mut self, ending: Ending) {
+        self.ending = ending;
+    }
+
+    /// Whether the request may still be sent at this moment.
+    pub(crate) fn may_start(&self, now: Time) -> bool {
+        if now.since(self.at) > self.grant.start_within {
+            return false;
+        }
+        let state = self.node.state();
+        let domain = state.domains.get(&self.domain);
+        let listing = domain.and_then(|d| d.listings().find(|l| l.instance == self.grant.instance));
+        listing.is_none_or(|l| !state.pools.body.zones_out.contains(&l.zone))
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        self.node
+            .release(&self.domain, self.grant.ticket, self.ending);
+    }
+}
+
+/// A ticket that was asked for and may be issued; given back unless it is kept.
+struct Asked {
+    node: Arc<Node>,
+    domain: domain::Name,
+    ticket: group::Ticket,
+    kept: bool,
+}
+
+impl Drop for Asked {
+    fn drop(&mut self) {
+        if !self.kept {
+            self.node.release(&self.domain, self.ticket, Ending::Unused);
+        }
+    }
+}
+
+impl Node {
+    /// Gives a ticket back to the domain that may have issued it.
+    fn release(&self, domain: &domain::Name, ticket: group::Ticket, ending: Ending) {
+        let now = self.now();
+        let mut state = self.state();
+        let pools = state.pools.clone();
+        if let Some(own) = state.domains.get_mut(domain).filter(|d| d.is_mine()) {
+            own.release(now, ticket, ending, &pools.body);
+            state.wake(now, domain);
+            return;
+        }
+        drop(state);
+        let release = Release {
+            domain: domain.clone(),
+            ticket,
+            ending,
+        };
+        if self.releases.try_send(release).is_err() {
+            log::warn!("event=release_dropped domain={domain} ticket={ticket}");
+        }
+    }
+
+    /// Has a request admitted somewhere; `tried` lists domains that refused it before.
+    pub(crate) async fn admit(
+        self: &Arc<Self>,
+        request: &Request,
+        tried: &mut BTreeSet<domain::Name>,
+        hop: &Hop,
+    ) -> Result<Admitted, Refusal> {
+        let mut last = Refusal::NotServing(NOT_SERVING_RETRY);
+        for attempt in 0..ASK_LIMIT {
+            let Some(domain) = self.choose(&request.pool, tried) else {
+                break;
+            };
+            let patient = attempt > 0 || self.only_choice(&request.pool, tried, &domain);
+            match self.ask(request, &domain, patient, hop).await {
+                Ok(admitted) => return Ok(admitted),
+                Err(Refusal::Busy(wait)) if !patient => {
+                    last = Refusal::Busy(wait);
+                }
+                Err(refusal) => {
+                    tried.insert(domain);
+                    last = worse(last, refusal);
+                }
+            }
+            if request.deadline <= self.now() {
+                break;
+            }
+        }
+        Err(last)
+    }
+
+    fn choose(&self, pool: &pool::Name, tried: &BTreeSet<domain::Name>) -> Option<domain::Name> {
+        let now = self.now();
+        let mut guard = self.state();
+        let state = &mut *guard;
+        state.note_own_domains(now);
+        state.board.choose(now, pool, tried, &mut state.rng)
+    }
+
+    fn only_choice(
+        &self,
+        pool: &pool::Name,
+        tried: &BTreeSet<domain::Name>,
+        domain: &domain::Name,
+    ) -> bool {
+        let now = self.now();
+        let state = self.state();
+        let others = state.board.fresh(now).filter(|(p, d, summary)| {
+            *p == pool && *d != domain && summary.serving > 0 && !tried.contains(*d)
+        });
+        others.count() == 0
+    }
+
+    async fn ask(
+        self: &Arc<Self>,
+        request: &Request,
+        domain: &domain::Name,
+        patient: bool,
+        hop: &Hop,
+    ) -> Result<Admitted, Refusal> {
+        let asked_at = self.now();
+        let (ask, owner) = {
+            let mut state = self.state();
+            let owner = state
+                .domains
+                .get(domain)
+                .and_then(|d| d.row().owner.clone());
+            (state.ask_of(request, domain, patient, asked_at), owner)
+        };
+        let mut asked = Asked {
+            node: self.clone(),
+            domain: domain.clone(),
+            ticket: ask.ticket,
+            kept: false,
+        };
+        let mine = owner
+            .as_ref()
+            .is_some_and(|owner| self.state().me == *owner);
+        let admission = if mine {
+            self.admit_here(ask).await.admission
+        } else {
+            // An answer that was lost may have issued the ticket, so it is given back.
+            let answered = self.admit_there(owner, ask, hop).await;
+            answered.ok_or(Refusal::NotServing(NOT_SERVING_RETRY))?
+        };
+        asked.kept = true;
+        match admission {
+            Admission::Granted(grant) => Ok(Admitted {
+                grant,
+                domain: domain.clone(),
+                at: self.now(),
+                ending: Ending::Unused,
+                node: self.clone(),
+            }),
+            Admission::NotServing | Admission::NotOwner => {
+                self.state().board.forget(domain, &request.pool);
+                Err(Refusal::NotServing(NOT_SERVING_RETRY))
+            }
+            Admission::Busy(wait) => Err(Refusal::Busy(wait)),
+            Admission::Late(wait) => Err(Refusal::Late(wait)),
+        }
+    }
+
+    /// Asks the owner of a domain over the network; nothing if its answer was lost.
+    async fn admit_there(
+        &self,
+        owner: Option<Owner>,
+        mut ask: Ask,
+        hop: &Hop,
+    ) -> Option<Admission> {
+        let address = owner.and_then(|owner| self.peer_address(&owner));
+        let (Some(address), Some(peers)) = (address, self.peers()) else {
+            return Some(Admission::NotOwner);
+        };
+        let span = hop.child("admit");
+        ask.traceparent = span.traceparent();
+        let pool = ask.pool.clone();
+        let domain = ask.domain.clone();
+        self.metrics.asked_peer();
+        match peers.admit(address, ask).await {
+            Ok(answer) => {
+                let now = self.now();
+                if let Some(notice) = answer.summary {
+                    let mut state = self.state();
+                    state
+                        .board
+                        .note(now, &notice.domain, &notice.pool, notice.summary, false);
+                }
+                Some(answer.admission)
+            }
+            Err(error) => {
+                span.fail(&error);
+                self.state().board.forget(&domain, &pool);
+                None
+            }
+        }
+    }
+
+    /// Decides about admission to one of this entry's domains, waiting if need be.
+    pub(crate) fn admit_here(self: &Arc<Self>, ask: Ask) -> Pending<cyclamen_peer::Answer> {
+        let node = self.clone();
+        Box::pin(async move {
+            let now = node.now();
+            let deadline = now + ask.time_left;
+            let (domain, pool) = (ask.domain.clone(), ask.pool.clone());
+            let decided = node.state().decide(now, ask);
+            let answer = match decided {
+                Ok(answer) => answer,
+                Err(waiter) => node.wait(waiter, deadline).await,
+            };
+            let summary = node.state().notice_of(node.now(), &domain, &pool);
+            cyclamen_peer::Answer {
+                admission: admission_of(answer),
+                summary,
+            }
+        })
+    }
+
+    /// Waits for an answer from the queue; the queue itself refuses at the deadline.
+    async fn wait(&self, waiter: oneshot::Receiver<Answer>, deadline: Time) -> Answer {
+        let late = Answer::Refused(domains::Refusal::Late(Duration::from_secs(1)));
+        let grace = deadline.since(self.now()) + Duration::from_secs(1);
+        let gone = late.clone();
+        let answered = async { waiter.await.unwrap_or(gone) };
+        let timeout = async {
+            Timer::after(grace).await;
+            late
+        };
+        or(answered, timeout).await
+    }
+}
+
+impl State {
+    fn ask_of(
+        &mut self,
+        request: &Request,
+        domain: &domain::Name,
+        patient: bool,
+        now: Time,
+    ) -> Ask {
+        Ask {
+            ticket: group::Ticket(self.rng.random()),
+            domain: domain.clone(),
+            pool: request.pool.clone(),
+            team: request.team.clone(),
+            share: request.share,
+            priority: request.priority,
+            time_left: request.deadline.since(now),
+            suspect: request.suspect,
+            patient,
+            holder: self.me.clone(),
+            traceparent: "".into(),
+        }
+    }
+
+    /// Decides at once, or gives what to wait for.
+    fn decide(&mut self, now: Time, ask: Ask) -> Result<Answer, oneshot::Receiver<Answer>> {
+        let holds = self.lease.holds(now);
+        let name = ask.domain;
+        let ask = domains::Ask {
+            ticket: ask.ticket,
+            pool: ask.pool,
+            team: ask.team,
+            share: ask.share,
+            priority: ask.priority,
+            deadline: now + ask.time_left,
+            suspect: ask.suspect,
+            patient: ask.patient,
+            holder: ask.holder,
+        };
+        let Some(domain) = self.domains.get_mut(&name).filter(|d| d.is_mine()) else {
+            return Ok(Answer::Refused(domains::Refusal::NotServing));
+        };
+        match domain.admit(now, ask, &self.pools.body, holds) {
+            Answer::Wait(waiting) => {
+                let (sender, receiver) = oneshot::channel();
+                self.waiters.insert((name, waiting), sender);
+                Err(receiver)
+            }
+            answer => Ok(answer),
+        }
+    }
+
+    /// Puts the exact state of this entry's own domains on the board.
+    pub(crate) fn note_own_domains(&mut self, now: Time) {
+        let Self {
+            domains,
+            board,
+            pools,
+            ..
+        } = self;
+        board.forget_own();
+        for (name, domain) in domains.iter_mut().filter(|(_, d)| d.is_mine()) {
+            for summary in domain.summaries(now, &pools.body) {
+                board.note(now, name, &summary.pool, board_summary(&summary), true);
+            }
+        }
+    }
+
+    fn notice_of(&mut self, now: Time, name: &domain::Name, pool: &pool::Name) -> Option<Notice> {
+        let domain = self.domains.get_mut(name).filter(|d| d.is_mine())?;
+        let summaries = domain.summaries(now, &self.pools.body);
+        let summary = summaries.iter().find(|s| s.pool == *pool)?;
+        Some(Notice {
+            pool: pool.clone(),
+            domain: name.clone(),
+            summary: board_summary(summary),
+        })
+    }
+}
+
+fn board_summary(summary: &domains::Summary) -> board::Summary {
+    board::Summary {
+        serving: summary.serving,
+        free: summary.free,
+        wait_ms: u64::try_from(summary.wait.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+fn admission_of(answer: Answer) -> Admission {
+    match answer {
+        Answer::Granted(grant) => Admission::Granted(grant),
+        Answer::Refused(domains::Refusal::NotServing) => Admission::NotServing,
+        Answer::Refused(domains::Refusal::Busy(wait)) => Admission::Busy(wait),
+        Answer::Refused(domains::Refusal::Late(wait)) => Admission::Late(wait),
+        Answer::Wait(_) => Admission::Busy(Duration::from_secs(1)),
+    }
+}
+
+/// The refusal that says more about when to come back.
+fn worse(one: Refusal, other: Refusal) -> Refusal {
+    match (one, other) {
+        (Refusal::NotServing(_), other) => other,
+        (one, Refusal::NotServing(_)) => one,
+        (_, other) => other,
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-entry/src/node/follow.rs
@@ -0,0 +1,127 @@
+//! Following the shared rows.
+
+use std::sync::Arc;
+
+use cyclamen_cache::{Delta, Key, Outcome, Revision, Row};
+use cyclamen_domain::{Domain, Owner};
+use cyclamen_platform::keys;
+use cyclamen_tables::{Document, Pools, Routes};
+use cyclamen_types::{Time, domain};
+
+use crate::node::state::State;
+
+impl State {
+    /// Merges a delta from the table service or another entry; whether it fitted.
+    pub(crate) fn follow(&mut self, now: Time, delta: Delta) -> bool {
+        match self.cache.merge(delta) {
+            Outcome::Merged(changed) => {
+                for key in changed {
+                    self.follow_key(now, &key);
+                }
+                self.arrange_limits(now);
+                true
+            }
+            Outcome::Stale => true,
+            Outcome::Gap => false,
+        }
+    }
+
+    /// Takes note of a row that this entry has just written.
+    pub(crate) fn wrote(
+        &mut self,
+        now: Time,
+        key: Key,
+        revision: Revision,
+        value: Option<Arc<str>>,
+    ) {
+        let row = Row {
+            key: key.clone(),
+            revision,
+            value,
+        };
+        self.cache.wrote(row);
+        self.follow_key(now, &key);
+    }
+
+    /// The revision of a row, or zero if it is absent.
+    pub(crate) fn revision(&self, key: &Key) -> Revision {
+        let row = self.cache.row(key).filter(|row| row.value.is_some());
+        row.map(|row| row.revision).unwrap_or_default()
+    }
+
+    fn follow_key(&mut self, now: Time, key: &Key) {
+        if *key == keys::routes() {
+            self.follow_routes();
+        } else if *key == keys::pools() {
+            self.follow_pools();
+        } else if let Some(name) = key.0.strip_prefix(keys::ENTRIES) {
+            self.follow_entry(name, key);
+        } else if let Some(name) = key.0.strip_prefix(keys::DOMAINS) {
+            self.follow_domain(now, name, key);
+        }
+    }
+
+    /// A table that cannot be read leaves the one in force as it is.
+    fn follow_routes(&mut self) {
+        let document: Option<Document<Routes>> = self.cache.get(&keys::routes());
+        if let Some(document) = document.filter(|d| d.version > self.routes.version) {
+            log::info!("event=routes_adopted version={}", document.version);
+            self.routes = Arc::new(document);
+        }
+    }
+
+    fn follow_pools(&mut self) {
+        let document: Option<Document<Pools>> = self.cache.get(&keys::pools());
+        if let Some(document) = document.filter(|d| d.version > self.pools.version) {
+            log::info!("event=pools_adopted version={}", document.version);
+            self.pools = Arc::new(document);
+        }
+    }
+
+    fn follow_entry(&mut self, name: &str, key: &Key) {
+        let Some(owner) = parse_owner(name) else {
+            return;
+        };
+        match self.cache.get(key) {
+            Some(entry) => {
+                self.entries.insert(owner, entry);
+            }
+            None => {
+                self.entries.remove(&owner);
+                let entries = &self.entries;
+                for domain in self.domains.values_mut() {
+                    domain.sweep(|holder| entries.contains_key(holder));
+                }
+            }
+        }
+    }
+
+    fn follow_domain(&mut self, now: Time, name: &str, key: &Key) {
+        let Ok(name) = name.parse::<domain::Name>() else {
+            return;
+        };
+        let row: Option<cyclamen_domain::Row> = self.cache.get(key);
+        let Some(row) = row else {
+            return;
+        };
+        let mine = row.owner.as_ref() == Some(&self.me);
+        let options = self.domain_options;
+        let domain = self.domains.entry(name.clone());
+        let domain = domain.or_insert_with(|| Domain::new(name.clone(), options));
+        if domain.is_mine() != mine {
+            log::info!("event=domain_owner domain={name} mine={mine}");
+        }
+        domain.adopt(now, row, mine);
+        if !mine {
+            self.wake(now, &name);
+        }
+    }
+}
+
+fn parse_owner(text: &str) -> Option<Owner> {
+    let (entry, incarnation) = text.rsplit_once('/')?;
+    Some(Owner {
+        entry: entry.parse().ok()?,
+        incarnation: incarnation.parse().ok()?,
+    })
+}
--- /dev/null
+++ b/crates/cyclamen-entry/src/operator/mod.rs
@@ -0,0 +1,74 @@
+//! The listener for operators and probes.
+
+mod status;
+mod tables;
+
+use std::sync::Arc;
+
+use subtle::ConstantTimeEq;
+use trillium::{Conn, Handler, KnownHeaderName, Method};
+
+use crate::node::Node;
+
+pub use status::Status;
+
+/// Answers operators and probes.
+pub(crate) struct Api(pub(crate) Arc<Node>);
+
+impl Handler for Api {
+    async fn run(&self, conn: Conn) -> Conn {
+        match (conn.method(), conn.path()) {
+            (Method::Get, "/livez") => conn.ok("live\n"),
+            (Method::Get, "/readyz") => self.readiness(conn),
+            (Method::Get, "/metrics") => {
+                let text = self.0.metrics.text();
+                conn.ok(text)
+            }
+            _ if !self.is_operator(&conn) => conn.with_status(401).halt(),
+            _ => self.operate(conn).await,
+        }
+    }
+}
+
+impl Api {
+    fn readiness(&self, conn: Conn) -> Conn {
+        if self.0.state().is_ready() {
+            conn.ok("ready\n")
+        } else {
+            conn.with_status(503).with_body("not ready\n").halt()
+        }
+    }
+
+    fn is_operator(&self, conn: &Conn) -> bool {
+        let header = conn
+            .request_headers()
+            .get_str(KnownHeaderName::Authorization);
+        let token = header
+            .and_then(|h| h.strip_prefix("Bearer "))
+            .unwrap_or_default();
+        let expected = self.0.settings.operator_token.reveal();
+        token.as_bytes().ct_eq(expected.as_bytes()).into()
+    }
+
+    async fn operate(&self, mut conn: Conn) -> Conn {
+        let path: Arc<str> = conn.path().into();
+        let segments: Vec<_> = path.trim_matches('/').split('/').collect();
+        let node = &self.0;
+        let reply = match (conn.method(), segments.as_slice()) {
+            (Method::Get, ["status"]) => status::read(node),
+            (Method::Get, ["tables", table]) => tables::read(node, table).await,
+            (Method::Get, ["tables", table, "history"]) => tables::history(node, table).await,
+            (Method::Post, ["tables", table]) => {
+                let body = conn.request_body().read_bytes().await.unwrap_or_default();
+                tables::apply(node, table, &body).await
+            }
+            (Method::Post, ["zones", zone, "out"]) => tables::move_zone(node, zone, true).await,
+            (Method::Post, ["zones", zone, "in"]) => tables::move_zone(node, zone, false).await,
+            _ => tables::Reply::error(404, "no such resource"),
+        };
+        conn.with_status(reply.status)
+            .with_response_header(KnownHeaderName::ContentType, "application/json")
+            .with_body(reply.body.to_string())
+            .halt()
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-entry/src/operator/tables.rs
@@ -0,0 +1,253 @@
+//! Reading and editing the two tables.
+
+use std::sync::Arc;
+
+use cyclamen_cache::{Key, Revision, Row};
+use cyclamen_platform::{Outcome, Transaction, keys};
+use cyclamen_tables::edit;
+use cyclamen_tables::{Document, Edit, Pools, Routes, Version, check};
+use cyclamen_types::zone;
+use rand::Rng;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+
+use crate::node::Node;
+
+/// Versions in a history.
+const HISTORY_LIMIT: u64 = 20;
+/// Tries of an edit that this entry makes itself against a version that changes.
+const EDIT_TRIES: u32 = 5;
+
+/// An answer to an operator.
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) body: Value,
+}
+
+impl Reply {
+    pub(crate) fn of(status: u16, body: &impl Serialize) -> Self {
+        let body = serde_json::to_value(body).unwrap_or_default();
+        Self { status, body }
+    }
+
+    pub(crate) fn error(status: u16, message: &str) -> Self {
+        Self::of(status, &json!({"error": message}))
+    }
+
+    fn store_down() -> Self {
+        Self::error(
+            503,
+            "the table service does not answer; ask again with the same edit id",
+        )
+    }
+}
+
+/// The two tables as the table service holds them at this moment.
+struct Current {
+    routes: Document<Routes>,
+    routes_revision: Revision,
+    pools: Document<Pools>,
+    pools_revision: Revision,
+}
+
+impl Current {
+    async fn read(node: &Node) -> Result<Self, Reply> {
+        let rows = node.platform.read([keys::routes(), keys::pools()]).await;
+        let rows = rows.map_err(|_| Reply::store_down())?;
+        let (routes, routes_revision) = decode(&rows, &keys::routes());
+        let (pools, pools_revision) = decode(&rows, &keys::pools());
+        Ok(Self {
+            routes,
+            routes_revision,
+            pools,
+            pools_revision,
+        })
+    }
+}
+
+fn decode<T: DeserializeOwned + Default>(rows: &[Row], key: &Key) -> (Document<T>, Revision) {
+    let row = rows.iter().find(|row| row.key == *key);
+    let text = row.and_then(|row| row.value.as_deref());
+    let document = text.and_then(|text| serde_json::from_str(text).ok());
+    let revision = row.filter(|r| r.value.is_some()).map(|r| r.revision);
+    (document.unwrap_or_default(), revision.unwrap_or_default())
+}
+
+/// Reads a table.
+pub(crate) async fn read(node: &Node, table: &str) -> Reply {
+    match (Current::read(node).await, table) {
+        (Ok(current), "routes") => Reply::of(200, &current.routes),
+        (Ok(current), "pools") => Reply::of(200, &current.pools),
+        (Ok(_), _) => Reply::error(404, "the tables are routes and pools"),
+        (Err(reply), _) => reply,
+    }
+}
+
+/// Reads the last versions of a table.
+pub(crate) async fn history(node: &Node, table: &str) -> Reply {
+    let newest = match Current::read(node).await {
+        Ok(current) if table == "routes" => current.routes.version,
+        Ok(current) => current.pools.version,
+        Err(reply) => return reply,
+    };
+    let oldest = newest.0.saturating_sub(HISTORY_LIMIT - 1).max(1);
+    let versions = (oldest..=newest.0).map(|v| keys::history(table, Version(v)));
+    let Ok(rows) = node.platform.read(versions).await else {
+        return Reply::store_down();
+    };
+    let texts = rows.iter().filter_map(|row| row.value.as_deref());
+    let documents: Vec<Value> = texts.filter_map(|t| serde_json::from_str(t).ok()).collect();
+    Reply::of(200, &documents)
+}
+
+/// Applies an edit of one table.
+pub(crate) async fn apply(node: &Node, table: &str, body: &[u8]) -> Reply {
+    match table {
+        "routes" => match parse::<Routes>(body) {
+            Ok(edit) => apply_routes(node, edit).await,
+            Err(reply) => reply,
+        },
+        "pools" => match parse::<Pools>(body) {
+            Ok(edit) => apply_pools(node, edit).await,
+            Err(reply) => reply,
+        },
+        _ => Reply::error(404, "the tables are routes and pools"),
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<Edit<T>, Reply> {
+    let decoder = &mut serde_json::Deserializer::from_slice(body);
+    serde_path_to_error::deserialize(decoder).map_err(|error| {
+        let fault = format!("{}: {}", error.path(), error.inner());
+        Reply::of(
+            422,
+            &json!({"error": "the edit is refused", "faults": [fault]}),
+        )
+    })
+}
+
+async fn apply_routes(node: &Node, edit: Edit<Routes>) -> Reply {
+    let current = match Current::read(node).await {
+        Ok(current) => current,
+        Err(reply) => return reply,
+    };
+    let faults = check::tables(&edit.body, &current.pools.body);
+    let base = Transaction::default()
+        .when(keys::routes(), current.routes_revision)
+        .when(keys::pools(), current.pools_revision);
+    commit(
+        node,
+        "routes",
+        keys::routes(),
+        base,
+        edit.decide(&current.routes),
+        &faults,
+    )
+    .await
+}
+
+async fn apply_pools(node: &Node, edit: Edit<Pools>) -> Reply {
+    let current = match Current::read(node).await {
+        Ok(current) => current,
+        Err(reply) => return reply,
+    };
+    let faults = check::tables(&current.routes.body, &edit.body);
+    let base = Transaction::default()
+        .when(keys::routes(), current.routes_revision)
+        .when(keys::pools(), current.pools_revision);
+    commit(
+        node,
+        "pools",
+        keys::pools(),
+        base,
+        edit.decide(&current.pools),
+        &faults,
+    )
+    .await
+}
+
+async fn commit<T: Serialize>(
+    node: &Node,
+    table: &str,
+    key: Key,
+    base: Transaction,
+    outcome: edit::Outcome<T>,
+    faults: &[check::Fault],
+) -> Reply {
+    let document = match outcome {
+        edit::Outcome::Repeated(version) => return accepted(version),
+        edit::Outcome::Stale { current } => return stale(current),
+        edit::Outcome::Accepted(document) => document,
+    };
+    if !faults.is_empty() {
+        let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
+        return Reply::of(
+            422,
+            &json!({"error": "the edit is refused", "faults": faults}),
+        );
+    }
+    let history = keys::history(table, document.version);
+    let write = base.put(key.clone(), &document).put(history, &document);
+    match node.platform.transact(&write).await {
+        Ok(Outcome::Committed(revision)) => {
+            log::info!(
+                "event=edit_accepted table={table} version={}",
+                document.version
+            );
+            let value = serde_json::to_string(&document).ok().map(Arc::from);
+            let now = node.now();
+            node.state().wrote(now, key, revision, value);
+            accepted(document.version)
+        }
+        Ok(Outcome::Conflict(_)) => {
+            Reply::error(409, "another edit came first; read and try again")
+        }
+        Err(_) => Reply::store_down(),
+    }
+}
+
+fn accepted(version: Version) -> Reply {
+    Reply::of(200, &json!({"version": version}))
+}
+
+fn stale(current: Version) -> Reply {
+    Reply::of(
+        409,
+        &json!({"error": "another edit came first", "current": current}),
+    )
+}
+
+/// Takes a zone out or brings it back, by an edit of the pools table.
+pub(crate) async fn move_zone(node: &Node, name: &str, out: bool) -> Reply {
+    let Ok(name) = name.parse::<zone::Name>() else {
+        return Reply::error(400, "not a name of a zone");
+    };
+    let id: Arc<str> = format!("{:032x}", node.state().rng.random::<u128>()).into();
+    let mut reply = Reply::store_down();
+    for _ in 0..EDIT_TRIES {
+        let pools = match Current::read(node).await {
+            Ok(current) => current.pools,
+            Err(reply) => return reply,
+        };
+        if pools.body.zones_out.contains(&name) == out {
+            return accepted(pools.version);
+        }
+        let mut body = pools.body;
+        if out {
+            body.zones_out.insert(name.clone())
+        } else {
+            body.zones_out.remove(&name)
+        };
+        let edit = Edit {
+            id: id.clone(),
+            replaces: pools.version,
+            body,
+        };
+        reply = apply_pools(node, edit).await;
+        if reply.status != 409 {
+            return reply;
+        }
+    }
+    reply
+}
--- /dev/null
+++ b/crates/cyclamen-entry/src/tasks/gossip.rs
@@ -0,0 +1,125 @@
+//! Exchanges news with other entries.
+
+use std::sync::Arc;
+
+use cyclamen_cache::Revision;
+use cyclamen_domain::Owner;
+use cyclamen_peer::News;
+use cyclamen_peer::message::Notice;
+use rand::seq::IteratorRandom;
+
+use crate::node::{Node, State};
+
+/// Summaries and strikes in one exchange.
+const NOTICE_LIMIT: usize = 32;
+
+/// Exchanges news with one other entry at random.
+pub(crate) async fn step(node: &Arc<Node>) {
+    let chosen = {
+        let mut guard = node.state();
+        let state = &mut *guard;
+        let me = &state.me;
+        let others = state.entries.iter().filter(|(owner, _)| *owner != me);
+        others
+            .choose(&mut state.rng)
+            .map(|(owner, entry)| (owner.clone(), entry.peer))
+    };
+    let Some((owner, address)) = chosen else {
+        return;
+    };
+    let Some(peers) = node.peers() else {
+        return;
+    };
+    let news = news(node, None);
+    match peers.gossip(address, news).await {
+        Ok(reply) => {
+            let theirs = reply.as_of;
+            take(node, reply);
+            let behind = theirs < node.state().cache.as_of();
+            if behind {
+                let _ = peers.gossip(address, self::news(node, Some(theirs))).await;
+            }
+        }
+        Err(error) => log::debug!("event=gossip_failed entry={owner} reason=\"{error}\""),
+    }
+}
+
+/// Takes the news of another entry and gives this one's.
+pub(crate) fn answer(node: &Arc<Node>, received: News) -> News {
+    let theirs = received.as_of;
+    take(node, received);
+    news(node, Some(theirs))
+}
+
+fn take(node: &Node, news: News) {
+    let now = node.now();
+    let mut state = node.state();
+    state.follow(now, news.delta);
+    for notice in news.summaries {
+        let mine = state
+            .domains
+            .get(&notice.domain)
+            .is_some_and(|d| d.is_mine());
+        if !mine {
+            state
+                .board
+                .note(now, &notice.domain, &notice.pool, notice.summary, false);
+        }
+    }
+    for strike in news.strikes {
+        state.suspects.strike(now, strike);
+    }
+}
+
+/// This entry's news, with the rows changed since a revision.
+fn news(node: &Node, since: Option<Revision>) -> News {
+    let now = node.now();
+    let mut state = node.state();
+    state.note_own_domains(now);
+    let as_of = state.cache.as_of();
+    let delta = since
+        .filter(|s| *s < as_of)
+        .map(|s| state.cache.changes_since(s));
+    News {
+        sender: state.me.clone(),
+        as_of,
+        summaries: summaries(&state),
+        strikes: state.suspects.strikes().take(NOTICE_LIMIT).collect(),
+        delta: delta.unwrap_or_default(),
+    }
+}
+
+/// The summaries of this entry's own domains; those of others come from their owners.
+fn summaries(state: &State) -> Vec<Notice> {
+    let own = state.board.own();
+    let notices = own.map(|(pool, domain, summary)| Notice {
+        pool: pool.clone(),
+        domain: domain.clone(),
+        summary,
+    });
+    notices.take(NOTICE_LIMIT).collect()
+}
+
+/// Tells every other entry at once, as after a crash that may come again.
+pub(crate) fn tell_all(node: &Arc<Node>) {
+    let targets: Vec<_> = {
+        let state = node.state();
+        let others = state
+            .entries
+            .iter()
+            .filter(|(owner, _): &(&Owner, _)| **owner != state.me);
+        others
+            .take(NOTICE_LIMIT)
+            .map(|(_, entry)| entry.peer)
+            .collect()
+    };
+    for address in targets {
+        let node = node.clone();
+        smol::spawn(async move {
+            if let Some(peers) = node.peers() {
+                let _ = peers.gossip(address, news(&node, None)).await;
+            }
+        })
+        .detach();
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-entry/src/tasks/mod.rs
@@ -0,0 +1,71 @@
+//! Tasks that keep the node's state up to date.
+
+mod gossip;
+mod lease;
+mod list;
+mod own;
+mod probe;
+mod release;
+mod sync;
+mod watch;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cyclamen_types::domain;
+use smol::Timer;
+
+use crate::node::Node;
+use crate::settings::span;
+
+pub(crate) use gossip::{answer as answer_news, tell_all};
+pub(crate) use lease::{announce_drain, resign};
+pub(crate) use own::hand_over_all;
+
+/// The time between two looks at whether a renewal of the lease is due.
+const LEASE_TICK: Duration = Duration::from_millis(200);
+/// The time between two looks at queues whose deadlines may have passed.
+const QUEUE_TICK: Duration = Duration::from_millis(100);
+
+/// Runs one step of a task again and again.
+macro_rules! every {
+    ($node:expr, $pause:expr, $step:path) => {{
+        let (node, pause): (Arc<Node>, Duration) = ($node.clone(), $pause);
+        smol::spawn(async move {
+            loop {
+                $step(&node).await;
+                Timer::after(pause).await;
+            }
+        })
+    }};
+}
+
+/// Starts every task; dropping the result stops them.
+pub(crate) fn start(node: &Arc<Node>) -> Vec<smol::Task<()>> {
+    let timing = node.settings.timing;
+    vec![
+        every!(node, LEASE_TICK, lease::step),
+        every!(node, span(timing.renew_every_ms), watch::step),
+        every!(node, span(timing.sync_every_ms), sync::step),
+        every!(node, span(timing.list_every_ms), list::step),
+        every!(node, span(timing.gossip_every_ms), gossip::step),
+        every!(node, span(timing.probe_every_ms), probe::step),
+        every!(node, span(timing.plan_every_ms), own::step),
+        every!(node, QUEUE_TICK, wake),
+        smol::spawn(release::run(node.clone())),
+    ]
+}
+
+/// Answers waiting requests whose turn or deadline has come.
+async fn wake(node: &Arc<Node>) {
+    let now = node.now();
+    let mut state = node.state();
+    for name in own_domains(&state) {
+        state.wake(now, &name);
+    }
+}
+
+fn own_domains(state: &crate::node::State) -> Vec<domain::Name> {
+    let own = state.domains.iter().filter(|(_, domain)| domain.is_mine());
+    own.map(|(name, _)| name.clone()).collect()
+}
--- a/crates/cyclamen-peer/schema/peer.capnp
+++ b/crates/cyclamen-peer/schema/peer.capnp
@@ -54,6 +54,7 @@
   patient @7 :Bool;
   holder @8 :Owner;
   traceparent @9 :Text;
+  ticket @10 :UInt64;
 }
 
 struct Grant {
--- a/crates/cyclamen-peer/src/decode.rs
+++ b/crates/cyclamen-peer/src/decode.rs
@@ -90,6 +90,7 @@
 pub(crate) fn ask(from: wire::ask::Reader<'_>) -> Result<Ask, Error> {
     let interactive = from.get_interactive();
     Ok(Ask {
+        ticket: group::Ticket(from.get_ticket()),
         domain: text(from.get_domain()?)?,
         pool: text(from.get_pool()?)?,
         team: text(from.get_team()?)?,
--- a/crates/cyclamen-peer/src/encode.rs
+++ b/crates/cyclamen-peer/src/encode.rs
@@ -70,6 +70,7 @@
 }
 
 pub(crate) fn ask(mut to: wire::ask::Builder<'_>, ask: &Ask) {
+    to.set_ticket(ask.ticket.0);
     to.set_domain(ask.domain.as_str());
     to.set_pool(ask.pool.as_str());
     to.set_team(ask.team.as_str());
--- a/crates/cyclamen-peer/src/lib.rs
+++ b/crates/cyclamen-peer/src/lib.rs
@@ -22,5 +22,5 @@
 pub use counted::Traffic;
 pub use error::Error;
 pub use message::{Answer, Ask, News, Release};
-pub use server::Service;
+pub use server::{Pending, Service};
 pub use thread::{Options, Peers, start};
--- a/crates/cyclamen-peer/src/message.rs
+++ b/crates/cyclamen-peer/src/message.rs
@@ -39,6 +39,8 @@
 /// A request for admission to a domain of the receiver.
 #[derive(Debug, Clone)]
 pub struct Ask {
+    /// The ticket to issue, a random number drawn by the holder.
+    pub ticket: group::Ticket,
     /// The domain.
     pub domain: domain::Name,
     /// The pool to be served by.
--- a/crates/cyclamen-peer/src/peer_capnp.rs
+++ b/crates/cyclamen-peer/src/peer_capnp.rs
@@ -1948,11 +1948,15 @@
         pub fn has_traceparent(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_ticket(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2122,6 +2126,14 @@
         pub fn has_traceparent(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_ticket(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_ticket(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2136,93 +2148,100 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 169] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 184] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(190, 171, 95, 203, 67, 78, 169, 223),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
             ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 65, 115, 107, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 32, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 33, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 111, 109, 97, 105, 110, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2306,6 +2325,14 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 105, 99, 107, 101, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2319,6 +2346,7 @@
                 7 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 8 => <crate::peer_capnp::owner::Owned as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2332,9 +2360,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,0,8,4,7,1,3,6,2,9];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,0,8,4,7,1,3,6,2,10,9];
         pub(crate) const TYPE_ID: u64 = 0xdfa9_4e43_cb5f_abbe;
     }
 }
--- a/crates/cyclamen-platform/src/keys.rs
+++ b/crates/cyclamen-platform/src/keys.rs
@@ -1,8 +1,9 @@
 //! Keys of the rows in the table service.
 
 use cyclamen_cache::Key;
+use cyclamen_domain::Owner;
 use cyclamen_tables::Version;
-use cyclamen_types::{domain, entry};
+use cyclamen_types::domain;
 
 /// The prefix of rows that every entry follows.
 pub const SHARED: &str = "shared/";
@@ -28,9 +29,9 @@
     Key::new("history/", format!("{table}/{version}"))
 }
 
-/// The row of an entry.
-pub fn entry(name: &entry::Name) -> Key {
-    Key::new(ENTRIES, name)
+/// The row of one start of an entry.
+pub fn entry(owner: &Owner) -> Key {
+    Key::new(ENTRIES, owner)
 }
 
 /// The row of a fabric domain.
@@ -38,9 +39,9 @@
     Key::new(DOMAINS, name)
 }
 
-/// The row of an entry's lease.
-pub fn lease(name: &entry::Name) -> Key {
-    Key::new(LEASES, name)
+/// The row of the lease of one start of an entry.
+pub fn lease(owner: &Owner) -> Key {
+    Key::new(LEASES, owner)
 }
 
 /// The row of a claim; the key is the caller's, already made safe.
--- a/crates/cyclamen-route/src/board.rs
+++ b/crates/cyclamen-route/src/board.rs
@@ -109,6 +109,13 @@
         domains.insert(domain.clone(), note);
     }
 
+    /// Forgets the domains of this entry, before their present state is noted.
+    pub fn forget_own(&mut self) {
+        for domains in self.notes.values_mut() {
+            domains.retain(|_, note| !note.own);
+        }
+    }
+
     /// Forgets a domain, as when its owner refused or did not answer.
     pub fn forget(&mut self, domain: &domain::Name, pool: &pool::Name) {
         if let Some(domains) = self.notes.get_mut(pool) {
@@ -116,7 +123,15 @@
         }
     }
 
-    /// Summaries to pass on to other entries.
+    /// The summaries of this entry's own domains.
+    pub fn own(&self) -> impl Iterator<Item = (&pool::Name, &domain::Name, Summary)> {
+        self.notes.iter().flat_map(|(pool, domains)| {
+            let own = domains.iter().filter(|(_, note)| note.own);
+            own.map(move |(domain, note)| (pool, domain, note.summary))
+        })
+    }
+
+    /// The summaries that are still believed.
     pub fn fresh(&self, now: Time) -> impl Iterator<Item = (&pool::Name, &domain::Name, Summary)> {
         let fresh = move |note: &&Note| now.since(note.read) <= self.options.stale_after;
         self.notes.iter().flat_map(move |(pool, domains)| {
--- a/dev/stand-in/src/main.rs
+++ b/dev/stand-in/src/main.rs
@@ -1,2 +1,123 @@
-//! x
-fn main() {}
+//! Runs one stand-in as a process, or the demonstration.
+
+use std::net::SocketAddr;
+
+use clap::{Parser, Subcommand};
+use cyclamen_domain::Listing;
+use cyclamen_domain::listing::Status;
+use cyclamen_stand_in::engine::Options;
+use cyclamen_stand_in::{demo, engine, platform, register, server, service};
+use cyclamen_types::{domain, instance, pool, zone};
+
+/// Stand-ins for the platform, model engines and plain services.
+#[derive(Debug, Parser)]
+#[command(name = "cyclamenpath-stand-in")]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// The table service and the instance list.
+    Platform {
+        /// Where to listen.
+        #[arg(long)]
+        listen: SocketAddr,
+    },
+    /// The workers of one fabric domain.
+    Engine {
+        /// The address of the first worker; the others follow.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// The platform.
+        #[arg(long)]
+        platform: SocketAddr,
+        /// The platform's label of the workers.
+        #[arg(long)]
+        service: pool::Service,
+        /// Their availability zone.
+        #[arg(long)]
+        zone: zone::Name,
+        /// Their fabric domain.
+        #[arg(long)]
+        domain: domain::Name,
+        /// How many workers there are.
+        #[arg(long, default_value_t = 4)]
+        workers: usize,
+        /// Milliseconds between two tokens.
+        #[arg(long, default_value_t = 5)]
+        token_ms: u64,
+    },
+    /// One worker of a plain service.
+    Service {
+        /// Where to listen.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// The platform.
+        #[arg(long)]
+        platform: SocketAddr,
+        /// The platform's label of the worker.
+        #[arg(long)]
+        service: pool::Service,
+        /// Its availability zone.
+        #[arg(long)]
+        zone: zone::Name,
+        /// Its fabric domain.
+        #[arg(long)]
+        domain: domain::Name,
+        /// Its instance.
+        #[arg(long)]
+        instance: instance::Id,
+    },
+    /// Everything on loopback in one process, until it is interrupted.
+    Demo,
+}
+
+fn main() -> eyre::Result<()> {
+    match Arguments::parse().command {
+        Command::Platform { listen } => {
+            let _server = server::listen(listen, platform::Platform::default())?;
+            smol::block_on(std::future::pending())
+        }
+        Command::Engine {
+            listen,
+            platform,
+            service,
+            zone,
+            domain,
+            workers,
+            token_ms,
+        } => {
+            let options = Options {
+                workers,
+                listen,
+                token: std::time::Duration::from_millis(token_ms),
+                ..Options::quick(service, zone, domain)
+            };
+            let _domain = engine::start(&options, platform)?;
+            smol::block_on(std::future::pending())
+        }
+        Command::Service {
+            listen,
+            platform,
+            service,
+            zone,
+            domain,
+            instance,
+        } => {
+            let server = server::listen(listen, service::Service::default())?;
+            let listing = Listing {
+                instance,
+                service,
+                zone,
+                domain,
+                address: server.address,
+                status: Status::Live,
+            };
+            smol::block_on(register::run(platform, move || vec![listing.clone()]));
+            Ok(())
+        }
+        Command::Demo => demo::run(),
+    }
+}
--- /dev/null
+++ b/dev/stand-in/src/register.rs
@@ -0,0 +1,32 @@
+//! Keeps instances on the platform's list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cyclamen_domain::Listing;
+use cyclamen_http::Caller;
+use cyclamen_platform::instances::List;
+use smol::Timer;
+
+const PERIOD: Duration = Duration::from_secs(1);
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Registers what `listings` gives, again and again.
+pub async fn run(platform: SocketAddr, listings: impl Fn() -> Vec<Listing>) {
+    let caller = Caller::new(cyclamen_http::Options::default());
+    let url = format!("http://{platform}/admin/instances");
+    loop {
+        let list = List {
+            instances: listings(),
+        };
+        let request = cyclamen_http::Request {
+            method: trillium::Method::Post,
+            url: &url,
+            body: serde_json::to_vec(&list).unwrap_or_default(),
+            timeout: TIMEOUT,
+            ..cyclamen_http::Request::default()
+        };
+        let _ = caller.call(request).await;
+        Timer::after(PERIOD).await;
+    }
+}
--- /dev/null
+++ b/dev/stand-in/src/server.rs
@@ -0,0 +1,39 @@
+//! A listener on loopback with one handler.
+
+use std::net::SocketAddr;
+
+use trillium::Handler;
+use trillium_server_common::ServerHandle;
+use trillium_smol::async_net;
+
+/// A running listener; it ends when it is dropped.
+pub struct Server {
+    /// Where it listens.
+    pub address: SocketAddr,
+    handle: ServerHandle,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.handle.shut_down();
+    }
+}
+
+/// Listens on an address; port zero takes a free one.
+pub fn listen(address: SocketAddr, handler: impl Handler) -> std::io::Result<Server> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let listener: async_net::TcpListener = listener.try_into()?;
+    let handle = trillium_smol::config()
+        .without_signals()
+        .with_nodelay()
+        .with_prebound_server(listener)
+        .spawn(handler);
+    Ok(Server { address, handle })
+}
+
+/// The bytes of a request's body.
+pub async fn body(conn: &mut trillium::Conn) -> Vec<u8> {
+    conn.request_body().read_bytes().await.unwrap_or_default()
+}
