fix: five faults of group repair and cold limits, found by a stateful test

Cause: a stateful test drives one fabric domain with two entries in virtual time (kills, pauses, restarts, cold turns, leaving, unlisting, zones out, owner changes, late and reordered reports and orders) and checks every grant against what is true of the workers. Ruled out: counting reports of the lease holder only, since a holder that was cut off goes on with warm groups. Change: members that must go are replaced when idle, all spares of a group or none, cold limits count unseen tickets on top of the report, a row names the fencing number with which its owner took it.

--- a/crates/cyclamen-domain/src/domain.rs
+++ b/crates/cyclamen-domain/src/domain.rs
@@ -82,22 +82,19 @@
     /// After a change of owner no work is admitted until every ticket of the
     /// former owner has been used or has lapsed and the workers were asked.
     pub fn adopt(&mut self, now: Time, row: Row, mine: bool) {
-        let gained = mine && !self.mine;
+        let gained = mine && (!self.mine || row.taken != self.row.taken);
         if gained || !mine {
             self.loads.clear();
             self.serving.clear();
         }
         self.mine = mine;
         self.row = row;
-        let from = if gained {
-            now + self.options.start_within
-        } else {
-            now
-        };
+        let start_within = self.options.start_within;
+        let from = if gained { now + start_within } else { now };
         self.loads.retain(|id, _| self.row.group(id).is_some());
         for group in &self.row.groups {
             let load = self.loads.entry(group.id.clone());
-            let load = load.or_insert_with(|| Load::unknown(from, group.fence));
+            let load = load.or_insert_with(|| Load::unknown(from, group.fence, start_within));
             load.refence(now, group.fence);
         }
     }
--- a/crates/cyclamen-domain/src/load.rs
+++ b/crates/cyclamen-domain/src/load.rs
@@ -13,6 +13,7 @@
 pub(crate) struct Load {
     pub(crate) tickets: BTreeMap<group::Ticket, Issued>,
     fence: group::Fence,
+    start_within: Duration,
     stage: Stage,
     running: Running,
 }
@@ -45,10 +46,11 @@
 
 impl Load {
     /// The load of a group that nothing is known of before `from`.
-    pub(crate) fn unknown(from: Time, fence: group::Fence) -> Self {
+    pub(crate) fn unknown(from: Time, fence: group::Fence, start_within: Duration) -> Self {
         Self {
             tickets: BTreeMap::new(),
             fence,
+            start_within,
             stage: Stage::Unknown(from),
             running: Running::default(),
         }
@@ -106,7 +108,25 @@
 
     /// How many more requests the group bears at this moment.
     pub(crate) fn free(&self, now: Time, limits: &Limits) -> u32 {
-        self.limit(now, limits).saturating_sub(self.in_progress())
+        let in_progress = match self.stage {
+            Stage::Unknown(_) | Stage::Cold(_) => self.most_in_progress(),
+            Stage::Warm(_) => self.in_progress(),
+        };
+        self.limit(now, limits).saturating_sub(in_progress)
+    }
+
+    /// The most requests that can be in progress, for a group that bears no more.
+    ///
+    /// A ticket issued shortly before the last report may have been used after
+    /// it, while what the report counted was another owner's.
+    fn most_in_progress(&self) -> u32 {
+        let asked = self.running.asked;
+        let unseen = self
+            .tickets
+            .values()
+            .filter(|t| t.at + self.start_within >= asked);
+        let seen = self.running.count.saturating_add(count(unseen.count()));
+        seen.max(count(self.tickets.len()))
     }
 
     /// Whether a request that is suspected of crashing workers is in progress.
--- a/crates/cyclamen-domain/src/plan.rs
+++ b/crates/cyclamen-domain/src/plan.rs
@@ -138,6 +138,16 @@
     }
 }
 
+/// What becomes of a member.
+enum Fate {
+    /// It stays, or may come back.
+    Stays,
+    /// It comes back as another incarnation.
+    Returns(Member),
+    /// Another instance has to take its place.
+    Lost,
+}
+
 /// A row in the making.
 struct Draft<'a> {
     scene: &'a Scene<'a>,
@@ -219,37 +229,54 @@
         });
     }
 
+    /// Repairs groups, those with the most present members first.
     fn repair_groups(&mut self, idle: impl Fn(&Group) -> bool) {
-        let ids: Vec<_> = self.row.groups.iter().map(|g| g.id.clone()).collect();
-        for id in ids {
-            let Some(group) = self.row.group(&id).cloned() else {
-                continue;
-            };
-            let idle = idle(&group);
-            if let Some(members) = self.repaired(&group, idle) {
-                self.replace(&id, members);
+        let mut groups = self.row.groups.clone();
+        groups.sort_by_key(|group| std::cmp::Reverse(self.present(group)));
+        for group in groups {
+            let stands = self.row.group(&group.id).is_some();
+            if let Some(members) = stands
+                .then(|| self.repaired(&group, idle(&group)))
+                .flatten()
+            {
+                self.replace(&group.id, members);
             }
         }
     }
 
     /// The members of a group after repair, if they differ.
+    ///
+    /// Spares are taken only if there are enough of them to make the group whole.
     fn repaired(&mut self, group: &Group, idle: bool) -> Option<Vec<Member>> {
         let mut members = group.members.clone();
-        for member in &mut members {
-            if let Some(other) = self.successor(group, member, idle) {
-                *member = other;
+        let mut lost = Vec::new();
+        for (place, member) in members.iter_mut().enumerate() {
+            match self.fate(group, member, idle) {
+                Fate::Stays => {}
+                Fate::Returns(restarted) => *member = restarted,
+                Fate::Lost => lost.push(place),
+            }
+        }
+        if self.collect_spares(group, lost.len()) {
+            let free = self.free.get_mut(&group.pool)?;
+            for place in lost {
+                members[place] = free.pop()?;
+                self.loading += 1;
             }
         }
         (members != group.members).then_some(members)
     }
 
-    /// What takes the place of one member, if anything should and can.
-    fn successor(&mut self, group: &Group, member: &Member, idle: bool) -> Option<Member> {
+    /// What becomes of one member.
+    fn fate(&self, group: &Group, member: &Member, idle: bool) -> Fate {
         let scene = self.scene;
         let repair = match scene.watch.presence(scene.now, member, scene.options) {
-            Presence::Present if self.is_leaving(member) && idle => Repair::Replace,
+            Presence::Present if self.must_go(group, member) && idle => Repair::Replace,
             Presence::Present => Repair::Wait,
-            Presence::Restarted => return self.usable(&member.instance).map(|(_, m)| m),
+            Presence::Restarted => match self.usable(&member.instance) {
+                Some((_, restarted)) => return Fate::Returns(restarted),
+                None => Repair::Replace,
+            },
             Presence::Gone => Repair::Replace,
             Presence::Silent(since) => {
                 let silent = scene.now.since(since);
@@ -257,62 +284,87 @@
             }
         };
         match repair {
-            Repair::Wait => None,
-            Repair::Replace => self.spare(group),
+            Repair::Wait => Fate::Stays,
+            Repair::Replace => Fate::Lost,
         }
     }
 
+    /// Whether a member that answers keeps the others of its group from serving.
+    ///
+    /// A group that lies wholly in a zone that is out stays as it is for its return.
+    fn must_go(&self, group: &Group, member: &Member) -> bool {
+        let zone_out = self.is_zone_out(member);
+        let others_stay = group.members.iter().any(|m| !self.is_zone_out(m));
+        self.is_leaving(member) || (zone_out && others_stay)
+    }
+
+    fn is_zone_out(&self, member: &Member) -> bool {
+        let listing = self.scene.watch.listing(&member.instance);
+        listing.is_some_and(|l| self.scene.pools.zones_out.contains(&l.zone))
+    }
+
+    /// Whether a member is about to leave, or has left the list while it still answers.
     fn is_leaving(&self, member: &Member) -> bool {
         let listing = self.scene.watch.listing(&member.instance);
-        listing.is_some_and(|l| l.status == Status::Leaving)
+        listing.is_none_or(|l| l.status == Status::Leaving)
     }
 
-    /// A free instance, or one of another group that is incomplete too.
-    fn spare(&mut self, group: &Group) -> Option<Member> {
-        if !self.may_load(&group.pool) {
-            return None;
+    /// Sees to it that enough spares are free, from weaker groups if need be.
+    fn collect_spares(&mut self, needy: &Group, count: usize) -> bool {
+        if count == 0 || !self.may_load(&needy.pool) {
+            return false;
+        }
+        let mut donors = self.donors(needy);
+        let given = donors.iter().map(|donor| self.spares_of(donor).len());
+        if self.free_count(&needy.pool) + given.sum::<usize>() < count {
+            return false;
         }
-        if self.free.get(&group.pool).is_none_or(Vec::is_empty) {
-            self.dissolve_donor(group);
+        while self.free_count(&needy.pool) < count
+            && let Some(donor) = donors.pop()
+        {
+            let spares = self.spares_of(&donor);
+            self.row.groups.retain(|g| g.id != donor.id);
+            self.free
+                .entry(needy.pool.clone())
+                .or_default()
+                .extend(spares);
         }
-        let spare = self.free.get_mut(&group.pool)?.pop()?;
-        self.loading += 1;
-        Some(spare)
+        self.free_count(&needy.pool) >= count
     }
 
-    /// Dissolves the incomplete group with the fewest present members.
-    fn dissolve_donor(&mut self, needy: &Group) {
-        let donors = self
+    fn free_count(&self, pool: &pool::Name) -> usize {
+        self.free.get(pool).map_or(0, Vec::len)
+    }
+
+    /// Incomplete groups with fewer present members, the weakest last.
+    fn donors(&self, needy: &Group) -> Vec<Group> {
+        let strength = |g: &Group| (self.present(g), g.id.clone());
+        let others = self
             .row
             .groups
             .iter()
             .filter(|g| g.id != needy.id && g.pool == needy.pool);
-        let weaker = |g: &&Group| {
-            let present = self.present(g);
-            present < g.members.len() && (present, &g.id) < (self.present(needy), &needy.id)
-        };
-        let donor = donors
-            .filter(weaker)
-            .min_by_key(|g| self.present(g))
-            .cloned();
-        let Some(donor) = donor else {
-            return;
-        };
-        self.row.groups.retain(|g| g.id != donor.id);
-        let usable = donor
-            .members
-            .iter()
-            .filter_map(|m| self.usable(&m.instance));
-        for (pool, member) in usable.collect::<Vec<_>>() {
-            self.free.entry(pool).or_default().push(member);
-        }
+        let weaker =
+            others.filter(|g| self.present(g) < g.members.len() && strength(g) < strength(needy));
+        let mut donors: Vec<_> = weaker.cloned().collect();
+        donors.sort_by_key(|g| std::cmp::Reverse(strength(g)));
+        donors
+    }
+
+    /// Members of a group that could serve in another.
+    fn spares_of(&self, group: &Group) -> Vec<Member> {
+        let members = group.members.iter();
+        members
+            .filter_map(|m| self.usable(&m.instance))
+            .map(|(_, member)| member)
+            .collect()
     }
 
     fn present(&self, group: &Group) -> usize {
         let scene = self.scene;
         let present = |m: &&Member| {
             let presence = scene.watch.presence(scene.now, m, scene.options);
-            presence == Presence::Present && !self.is_leaving(m)
+            presence == Presence::Present && !self.is_leaving(m) && !self.is_zone_out(m)
         };
         group.members.iter().filter(present).count()
     }
--- a/crates/cyclamen-domain/src/row.rs
+++ b/crates/cyclamen-domain/src/row.rs
@@ -13,6 +13,9 @@
     pub fence: group::Fence,
     /// The entry that owns the domain, if any.
     pub owner: Option<Owner>,
+    /// The fencing number with which the owner took the domain.
+    #[serde(default)]
+    pub taken: group::Fence,
     /// The replica groups.
     pub groups: Vec<Group>,
 }
@@ -71,6 +74,17 @@
 }
 
 impl Row {
+    /// The row after a change of owner.
+    pub fn taken_by(&self, owner: Option<Owner>) -> Self {
+        let fence = self.fence.next();
+        Self {
+            fence,
+            owner,
+            taken: fence,
+            groups: self.groups.clone(),
+        }
+    }
+
     /// The rules that the row breaks.
     pub fn faults(&self) -> Vec<Fault> {
         let mut seen = BTreeSet::new();
--- a/crates/cyclamen-entry/src/tasks/own.rs
+++ b/crates/cyclamen-entry/src/tasks/own.rs
@@ -81,14 +81,8 @@
 
 /// The change of a domain's owner, on the condition that its row is as it was read.
 fn move_to(state: &State, name: &domain::Name, owner: Option<Owner>) -> Move {
-    let mut row = state
-        .domains
-        .get(name)
-        .map(|d| d.row().clone())
-        .unwrap_or_default();
-    row.fence = row.fence.next();
-    row.owner = owner;
-    write_of(state, name, row)
+    let row = state.domains.get(name).map(|d| d.row().taken_by(owner));
+    write_of(state, name, row.unwrap_or_default())
 }
 
 fn write_of(state: &State, name: &domain::Name, row: Row) -> Move {
--- /dev/null
+++ b/crates/cyclamenpath/src/command/entry.rs
@@ -0,0 +1,9 @@
+//! Runs an entry instance.
+
+use std::path::Path;
+
+use crate::command::check;
+
+pub(crate) fn run(path: &Path) -> eyre::Result<()> {
+    cyclamen_entry::run(check::read(path)?)
+}
--- /dev/null
+++ b/crates/cyclamenpath/src/command/mod.rs
@@ -0,0 +1,9 @@
+//! What each command does.
+
+pub(crate) mod check;
+pub(crate) mod entry;
+pub(crate) mod key_digest;
+pub(crate) mod schema;
+pub(crate) mod status;
+pub(crate) mod table;
+pub(crate) mod zone;
--- /dev/null
+++ b/crates/cyclamenpath/src/command/schema.rs
@@ -0,0 +1,17 @@
+//! Prints JSON schemas.
+
+use cyclamen_entry::Settings;
+use cyclamen_tables::{Pools, Routes};
+use schemars::schema_for;
+
+use crate::options::Schema;
+
+pub(crate) fn run(of: Schema) -> eyre::Result<()> {
+    let schema = match of {
+        Schema::Settings => schema_for!(Settings),
+        Schema::Routes => schema_for!(Routes),
+        Schema::Pools => schema_for!(Pools),
+    };
+    println!("{}", serde_json::to_string_pretty(&schema)?);
+    Ok(())
+}
