--- /dev/null
+++ b/crates/cyclamen-cache/tests/spread.rs
@@ -0,0 +1,225 @@
+//! Accepted rows spread to every entry and never go back.
+//!
+//! Entries read from a table service that is down or answers from the past,
+//! and exchange news in any order, late and more than once; they restart.
+
+use std::collections::BTreeMap;
+
+use cyclamen_cache::{Cache, Delta, Key, Outcome, Revision, Row};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+const ENTRIES: usize = 4;
+const KEYS: usize = 3;
+
+#[derive(Debug, Clone)]
+enum Event {
+    Commit(usize, bool),
+    Read(usize),
+    ReadPast(usize, usize),
+    Tell(usize, usize),
+    Deliver(usize, bool),
+    Restart(usize),
+    Write(usize, usize),
+}
+
+#[derive(Debug, Clone)]
+struct Nothing;
+
+impl ReferenceStateMachine for Nothing {
+    type State = Self;
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self).boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Event> {
+        let entry = 0..ENTRIES;
+        prop_oneof![
+            3 => (0..KEYS, any::<bool>()).prop_map(|(k, d)| Event::Commit(k, d)),
+            2 => entry.clone().prop_map(Event::Read),
+            2 => (entry.clone(), 0..64_usize).prop_map(|(e, n)| Event::ReadPast(e, n)),
+            4 => (entry.clone(), entry.clone()).prop_map(|(a, b)| Event::Tell(a, b)),
+            4 => (0..64_usize, any::<bool>()).prop_map(|(n, k)| Event::Deliver(n, k)),
+            1 => entry.clone().prop_map(Event::Restart),
+            1 => (entry, 0..KEYS).prop_map(|(e, k)| Event::Write(e, k)),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Self, _: &Event) -> Self {
+        state
+    }
+}
+
+/// The table service with its whole past.
+#[derive(Debug, Default)]
+struct Store {
+    writes: Vec<Row>,
+}
+
+impl Store {
+    fn commit(&mut self, key: usize, delete: bool) -> Row {
+        let revision = self.writes.len() as u64 + 1;
+        let row = Row {
+            key: key_of(key),
+            revision: Revision(revision),
+            value: (!delete).then(|| revision.to_string().into()),
+        };
+        self.writes.push(row.clone());
+        row
+    }
+
+    /// The changes after a revision, as the service knew them at a later one.
+    fn changes(&self, since: Revision, as_of: Revision) -> Delta {
+        let known = self.writes.iter().take(as_of.0 as usize);
+        let latest: BTreeMap<_, _> = known.map(|row| (row.key.clone(), row.clone())).collect();
+        Delta {
+            since,
+            as_of,
+            rows: latest
+                .into_values()
+                .filter(|row| row.revision > since)
+                .collect(),
+        }
+    }
+
+    fn newest(&self) -> Revision {
+        Revision(self.writes.len() as u64)
+    }
+}
+
+#[derive(Debug, Default)]
+struct World {
+    store: Store,
+    caches: Vec<Cache>,
+    held: Vec<BTreeMap<Key, Revision>>,
+    mail: Vec<(usize, Delta)>,
+}
+
+struct Spread;
+
+impl World {
+    fn merge(&mut self, entry: usize, delta: Delta) {
+        let since = delta.since;
+        let before = self.caches[entry].as_of();
+        let outcome = self.caches[entry].merge(delta);
+        if outcome == Outcome::Gap {
+            assert!(since > before, "only a later delta leaves a gap");
+        }
+    }
+}
+
+impl StateMachineTest for Spread {
+    type SystemUnderTest = World;
+    type Reference = Nothing;
+
+    fn init_test(_: &Nothing) -> World {
+        World {
+            caches: vec![Cache::default(); ENTRIES],
+            held: vec![BTreeMap::new(); ENTRIES],
+            ..World::default()
+        }
+    }
+
+    fn apply(mut world: World, _: &Nothing, event: Event) -> World {
+        match event {
+            Event::Commit(key, delete) => {
+                world.store.commit(key, delete);
+            }
+            Event::Read(entry) => {
+                let newest = world.store.newest();
+                let delta = world.store.changes(world.caches[entry].as_of(), newest);
+                world.merge(entry, delta);
+            }
+            Event::ReadPast(entry, back) => {
+                let newest = world.store.newest().0;
+                let past = Revision(newest.saturating_sub(back as u64));
+                let delta = world.store.changes(world.caches[entry].as_of(), past);
+                world.merge(entry, delta);
+            }
+            Event::Tell(from, to) => {
+                let since = world.caches[to].as_of();
+                world
+                    .mail
+                    .push((to, world.caches[from].changes_since(since)));
+            }
+            Event::Deliver(pick, again) => {
+                if !world.mail.is_empty() {
+                    let at = pick % world.mail.len();
+                    let (to, delta) = world.mail[at].clone();
+                    if !again {
+                        world.mail.remove(at);
+                    }
+                    world.merge(to, delta);
+                }
+            }
+            Event::Restart(entry) => {
+                world.caches[entry] = Cache::default();
+                world.held[entry] = BTreeMap::new();
+            }
+            Event::Write(entry, key) => {
+                let row = world.store.commit(key, false);
+                world.caches[entry].wrote(row);
+            }
+        }
+        for (cache, held) in world.caches.iter().zip(&mut world.held) {
+            check(cache, held, &world.store);
+        }
+        world
+    }
+
+    /// With the store gone for good, news alone brings all to the newest that any has.
+    fn teardown(mut world: World, _: Nothing) {
+        let newest = world.caches.iter().map(Cache::as_of).max().unwrap();
+        for _ in 0..2 {
+            for entry in 0..ENTRIES {
+                let next = (entry + 1) % ENTRIES;
+                let delta = world.caches[entry].changes_since(world.caches[next].as_of());
+                world.merge(next, delta);
+            }
+        }
+        assert!(world.caches.iter().all(|cache| cache.as_of() == newest));
+    }
+}
+
+/// Rows never go back, and a cache is complete up to the revision that it claims.
+fn check(cache: &Cache, held: &mut BTreeMap<Key, Revision>, store: &Store) {
+    for key in (0..KEYS).map(key_of) {
+        let revision = cache.row(&key).map(|row| row.revision).unwrap_or_default();
+        let before = held.insert(key.clone(), revision).unwrap_or_default();
+        assert!(
+            revision >= before,
+            "{key} went back from {before} to {revision}"
+        );
+        let due = store.changes(Revision(0), cache.as_of());
+        let due = due
+            .rows
+            .iter()
+            .find(|row| row.key == key)
+            .map(|row| row.revision);
+        assert!(
+            revision >= due.unwrap_or_default(),
+            "{key} is missing at {}",
+            cache.as_of()
+        );
+    }
+}
+
+fn key_of(key: usize) -> Key {
+    Key::new("shared/", key)
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: 1_000,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn rows_spread_and_never_go_back(sequential 1..120 => Spread);
+}
--- /dev/null
+++ b/dev/faults/show.sh
@@ -0,0 +1,32 @@
+#!/usr/bin/env bash
+# Takes out one mechanism after another and shows that its check then fails.
+# usage: dev/faults/show.sh [NAME ...]
+set -eu
+cd "$(dirname "$0")/../.."
+export CARGO_TARGET_DIR="${CARGO_TARGET_DIR:-$PWD/target/faults}"
+names=("$@")
+if [ ${#names[@]} = 0 ]; then
+    for patch in dev/faults/*.patch; do names+=("$(basename "$patch" .patch)"); done
+fi
+tree=$(mktemp -d)
+trap 'rm -rf "$tree"' EXIT
+missed=0
+for name in "${names[@]}"; do
+    rm -rf "$tree/copy" && mkdir "$tree/copy"
+    git archive HEAD | tar -x -C "$tree/copy"
+    cp "dev/faults/$name.patch" "$tree/fault.patch"
+    patch -s -p1 -d "$tree/copy" < "$tree/fault.patch"
+    check=$(sed -n 's/^# check: //p' "$tree/fault.patch")
+    # shellcheck disable=SC2086
+    if (cd "$tree/copy" && RUST_BACKTRACE=0 cargo test -q --locked $check) > "$tree/out" 2>&1; then
+        echo "$name: NOT FOUND by cargo test $check"
+        missed=1
+    elif grep -q '^error' "$tree/out" && ! grep -q 'test result: FAILED' "$tree/out"; then
+        echo "$name: does not build"
+        missed=1
+    else
+        said=$(grep -m1 -A1 'panicked at' "$tree/out" | tail -n 1)
+        echo "$name: found; $said"
+    fi
+done
+exit $missed
