test: let calls time out while they are claimed or sent, and restarted members follow old orders

Cause: dev/faults/show.sh found no failure for four faults: an abandoned attempt that is sent, a sent call that is abandoned, a former owner's request left out of the cold count, and a restarted member that follows an old order. Ruled out: that the mechanisms are useless; the tests could not reach them. Change: a time-out may come at any moment of a claim, sending takes time, and two scenarios are told step by step.

--- a/crates/cyclamen-claim/tests/at_most_once.rs
+++ b/crates/cyclamen-claim/tests/at_most_once.rs
@@ -23,7 +23,9 @@
     Call(usize),
     Step(usize, Luck),
     LateWrite(usize),
-    Send(usize, End),
+    Send(usize),
+    End(usize, End),
+    TimeOut(usize),
     Kill(usize),
 }
 
@@ -42,7 +44,6 @@
     Answered,
     AnswerLost,
     NotRun,
-    GivenUp,
 }
 
 #[derive(Debug, Clone)]
@@ -67,14 +68,15 @@
             Just(End::Answered),
             Just(End::AnswerLost),
             Just(End::NotRun),
-            Just(End::GivenUp),
         ];
         let pick = 0..16_usize;
         prop_oneof![
             2 => (0..ENTRIES).prop_map(Event::Call),
             8 => (pick.clone(), luck).prop_map(|(p, l)| Event::Step(p, l)),
             2 => pick.clone().prop_map(Event::LateWrite),
-            3 => (pick, end).prop_map(|(p, e)| Event::Send(p, e)),
+            3 => pick.clone().prop_map(Event::Send),
+            3 => (pick.clone(), end).prop_map(|(p, e)| Event::End(p, e)),
+            2 => pick.prop_map(Event::TimeOut),
             1 => (0..ENTRIES).prop_map(Event::Kill),
         ]
         .boxed()
@@ -94,6 +96,7 @@
     next: Action,
     /// The revision at which the claim is held.
     held: Option<u64>,
+    sent: bool,
 }
 
 #[derive(Debug)]
@@ -199,32 +202,33 @@
         }
     }
 
-    fn send(&mut self, at: usize, end: End) {
-        let Some(revision) = self.jobs[at].held else {
-            return;
-        };
-        let (entry, attempt) = (self.jobs[at].entry, self.jobs[at].attempt);
-        let attempts = &mut self.nodes[entry].attempts;
-        if matches!(end, End::GivenUp) {
-            self.jobs.remove(at);
-            if attempts.abandon(self.now, attempt) {
-                self.said_not_run.push(attempt);
-                let record = self.record_in(entry, attempt, State::NotRun);
-                self.write(revision, record);
-            }
+    /// The call goes to its endpoint, if the entry still may send it.
+    fn send(&mut self, at: usize) {
+        let job = &mut self.jobs[at];
+        if job.held.is_none() || job.sent {
             return;
         }
-        if !attempts.send(self.now, attempt) {
+        if self.nodes[job.entry].attempts.send(self.now, job.attempt) {
+            job.sent = true;
+        } else {
             self.jobs.remove(at);
+        }
+    }
+
+    /// The endpoint ran the call, or says that it did not.
+    fn end(&mut self, at: usize, end: End) {
+        if !self.jobs[at].sent {
             return;
         }
+        let (entry, attempt) = (self.jobs[at].entry, self.jobs[at].attempt);
         if matches!(end, End::NotRun) {
-            attempts.recall(self.now, attempt);
+            self.nodes[entry].attempts.recall(self.now, attempt);
+            self.jobs[at].sent = false;
             return;
         }
         self.runs += 1;
         self.ran.push(attempt);
-        self.jobs.remove(at);
+        let job = self.jobs.remove(at);
         let state = match end {
             End::Answered => State::Done(Answer {
                 status: 200,
@@ -234,7 +238,19 @@
             _ => State::Unknown,
         };
         let record = self.record_in(entry, attempt, state);
-        self.late.push((revision, record));
+        self.late
+            .extend(job.held.map(|revision| (revision, record)));
+    }
+
+    /// The caller's time is up; it hears "not run" if that is certain for good.
+    fn time_out(&mut self, at: usize) {
+        let (entry, attempt) = (self.jobs[at].entry, self.jobs[at].attempt);
+        if self.nodes[entry].attempts.abandon(self.now, attempt) {
+            self.said_not_run.push(attempt);
+            let record = self.record_in(entry, attempt, State::NotRun);
+            self.late
+                .extend(self.jobs[at].held.map(|revision| (revision, record)));
+        }
     }
 
     fn record_in(&self, entry: usize, attempt: Attempt, state: State) -> Record {
@@ -285,10 +301,13 @@
                     flow,
                     next,
                     held: None,
+                    sent: false,
                 });
             }
             Event::Step(pick, luck) if jobs > 0 => world.step(pick % jobs, luck),
-            Event::Send(pick, end) if jobs > 0 => world.send(pick % jobs, end),
+            Event::Send(pick) if jobs > 0 => world.send(pick % jobs),
+            Event::End(pick, end) if jobs > 0 => world.end(pick % jobs, end),
+            Event::TimeOut(pick) if jobs > 0 => world.time_out(pick % jobs),
             Event::LateWrite(pick) if !world.late.is_empty() => {
                 let at = pick % world.late.len();
                 let (expected, record) = world.late.remove(at);
--- a/crates/cyclamen-domain/tests/found.rs
+++ b/crates/cyclamen-domain/tests/found.rs
@@ -2,7 +2,8 @@
 
 mod world;
 
-use cyclamen_domain::Options;
+use cyclamen_domain::report::Assignment;
+use cyclamen_domain::{Options, Order};
 use world::{LIMITS, World, index};
 
 fn settled() -> World {
@@ -57,11 +58,35 @@
     world.start(0);
     world.advance(1_000);
     world.settle(1, 1);
-    world.ask(1);
+    assert!(fill(&mut world, 1) <= LIMITS.cold);
     world.settle(1, 1);
     assert!(fill(&mut world, 1) <= LIMITS.cold);
 }
 
+#[test]
+fn a_restarted_member_that_follows_an_old_order_does_not_serve() {
+    let mut world = settled();
+    let group = world.row.groups[0].clone();
+    let worker = index(&group.members[1].instance);
+    world.restart(worker);
+    let order = Order::Join {
+        assignment: Assignment {
+            group: group.id.clone(),
+            fence: group.fence,
+        },
+        pool: group.pool.clone(),
+        rank: 1,
+        size: group.members.len(),
+    };
+    world.orders.push((worker, order));
+    world.deliver_order(0);
+    world.probe(0, worker);
+    world.deliver_report(0);
+    while let Some(grant) = world.ask(0) {
+        assert_ne!(grant.group, group.id);
+    }
+}
+
 #[test]
 fn an_owner_that_lost_the_domain_in_between_starts_anew() {
     let mut world = settled();
