--- a/dev/stand-in/src/engine/mod.rs
+++ b/dev/stand-in/src/engine/mod.rs
@@ -19,6 +19,7 @@
 use crate::register;
 use crate::server::{self, Server};
 
+pub use answer::{CRASH_MARK, token};
 pub use worker::{Faults, Worker};
 
 /// The workers of one fabric domain.
--- /dev/null
+++ b/dev/stand-in/tests/processes.rs
@@ -0,0 +1,249 @@
+//! Separate processes: entries, platform, engines and a plain service, some of which fail.
+
+mod site;
+
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use site::{Site, complete, expected};
+
+/// Streams many completions at once through some entries, and fails while they run.
+fn under_load(
+    site: &mut Site,
+    entries: &[usize],
+    tokens: u64,
+    failure: impl FnOnce(&mut Site),
+) -> Vec<(String, Result<String, Value>)> {
+    const STREAMS: usize = 12;
+    let running: Vec<_> = (0..STREAMS)
+        .map(|i| {
+            let content = format!("stream {i}");
+            let at = site.entries[entries[i % entries.len()]].callers;
+            let running = complete(site.caller.clone(), at, content.clone(), tokens);
+            (content, smol::spawn(running))
+        })
+        .collect();
+    site.until("the streams have begun", || {
+        let in_progress = |e: &usize| site.status(*e)["requests_in_progress"].as_u64();
+        entries.iter().filter_map(in_progress).sum::<u64>() >= STREAMS as u64
+    });
+    failure(site);
+    running
+        .into_iter()
+        .map(|(content, task)| (content, smol::block_on(task)))
+        .collect()
+}
+
+fn assert_whole(answers: Vec<(String, Result<String, Value>)>, tokens: u64) {
+    for (content, answer) in answers {
+        assert_eq!(answer, Ok(expected(&content, tokens)), "{content}");
+    }
+}
+
+fn owner_of(site: &Site, domain: &str) -> Option<usize> {
+    (0..site.entries.len()).find(|entry| {
+        let status = site.status(*entry);
+        let domains = status["domains"].as_array().cloned().unwrap_or_default();
+        domains
+            .iter()
+            .any(|d| d["name"] == domain && d["mine"] == true)
+    })
+}
+
+#[test]
+fn a_streamed_answer_comes_whole_through_each_of_six_entries() {
+    let site = Site::start("six", 6);
+    for entry in 0..6 {
+        let content = format!("through {entry}");
+        assert_eq!(
+            site.complete(entry, &content, 40),
+            Ok(expected(&content, 40))
+        );
+    }
+    assert_eq!(site.violations(), Default::default());
+}
+
+#[test]
+fn streams_of_other_entries_outlive_a_killed_entry() {
+    let mut site = Site::start("kill-entry", 3);
+    let victim = owner_of(&site, "sofia-a-d1").unwrap();
+    let others: Vec<_> = (0..3).filter(|e| *e != victim).collect();
+    let answers = under_load(&mut site, &others, 200, |site| {
+        site.entries[victim].process.kill();
+    });
+    assert_whole(answers, 200);
+    site.until("another entry owns the domain", || {
+        owner_of(&site, "sofia-a-d1").is_some_and(|e| e != victim)
+    });
+    assert_eq!(site.violations().incomplete, 0);
+    assert_eq!(site.violations().overloaded, 0);
+}
+
+#[test]
+fn streams_go_on_elsewhere_when_their_engines_are_killed() {
+    let mut site = Site::start("kill-engine", 2);
+    let answers = under_load(&mut site, &[0, 1], 200, |site| site.engines[0].kill());
+    assert_whole(answers, 200);
+}
+
+#[test]
+fn a_graceful_shutdown_cuts_no_stream() {
+    let mut site = Site::start("drain", 2);
+    let answers = under_load(&mut site, &[0], 200, |site| {
+        site.entries[0].process.signal(Signal::TERM);
+    });
+    assert_whole(answers, 200);
+    assert!(site.entries[0].process.wait());
+}
+
+#[test]
+fn a_frozen_owner_takes_nothing_with_it() {
+    let site = Site::start("freeze", 3);
+    let frozen = owner_of(&site, "sofia-a-d1").unwrap();
+    let other = (0..3).find(|e| *e != frozen).unwrap();
+    site.entries[frozen].process.signal(Signal::STOP);
+    site.until("another entry owns the domain", || {
+        let owner = (0..3).filter(|e| *e != frozen).find(|e| {
+            let status = site.status(*e);
+            status["domains"].as_array().is_some_and(|domains| {
+                domains
+                    .iter()
+                    .any(|d| d["name"] == "sofia-a-d1" && d["mine"] == true)
+            })
+        });
+        owner.is_some()
+    });
+    assert_eq!(
+        site.complete(other, "meanwhile", 10),
+        Ok(expected("meanwhile", 10))
+    );
+    site.entries[frozen].process.signal(Signal::CONT);
+    site.until("the frozen entry answers again", || {
+        site.complete(frozen, "again", 10) == Ok(expected("again", 10))
+    });
+    assert_eq!(site.violations(), Default::default());
+}
+
+#[test]
+fn calls_go_on_and_claims_are_refused_while_the_platform_is_down() {
+    let site = Site::start("platform-down", 2);
+    site.fail_platform(json!({"down": true}));
+    let refused = site.post(0, "during", Some("k1")).unwrap();
+    assert_eq!(refused.status, 503);
+    assert_eq!(
+        refused.headers.get_str("cyclamenpath-outcome"),
+        Some("not-run")
+    );
+    assert!(refused.headers.get_str("retry-after").is_some());
+    assert_eq!(site.runs("during"), 0);
+    site.until("the leases have run out", || {
+        (0..2).all(|entry| site.status(entry)["lease"] == false)
+    });
+    for entry in 0..2 {
+        assert_eq!(site.complete(entry, "down", 10), Ok(expected("down", 10)));
+    }
+    site.fail_platform(json!({}));
+    site.until("the call runs", || {
+        site.post(0, "during", Some("k1")).unwrap().status == 200
+    });
+    assert_eq!(site.runs("during"), 1);
+}
+
+#[test]
+fn a_call_under_one_key_runs_once_through_any_entry() {
+    let site = Site::start("claims", 2);
+    site.fail_platform(json!({"lose_answers": true}));
+    for round in 0..4 {
+        let reply = site.post(round % 2, "lost", Some("k1")).unwrap();
+        let outcome = reply.headers.get_str("cyclamenpath-outcome");
+        assert!(
+            reply.status == 200 || outcome == Some("unknown"),
+            "{reply:?}"
+        );
+    }
+    site.fail_platform(json!({}));
+    assert_eq!(site.runs("lost"), 1);
+    let first = site.post(0, "kept", Some("k2")).unwrap();
+    let second = site.post(1, "kept", Some("k2")).unwrap();
+    assert_eq!((first.status, &first.body), (200, &second.body));
+    assert_eq!(site.runs("kept"), 1);
+    assert_eq!(site.post(1, "other", Some("k2")).unwrap().status, 422);
+}
+
+#[test]
+fn a_lost_answer_of_the_service_is_unknown_and_never_repeated() {
+    let site = Site::start("lost-answer", 2);
+    let faults = json!({"lose_answers": true});
+    site.admin(
+        site.service,
+        trillium::Method::Post,
+        "/admin/faults",
+        faults,
+    );
+    for (name, key) in [("with-key", Some("k1")), ("without-key", None)] {
+        let reply = site.post(0, name, key).unwrap();
+        assert_eq!(
+            reply.headers.get_str("cyclamenpath-outcome"),
+            Some("unknown")
+        );
+        assert_eq!(site.runs(name), 1);
+    }
+    let again = site.post(1, "with-key", Some("k1")).unwrap();
+    assert_eq!(
+        again.headers.get_str("cyclamenpath-outcome"),
+        Some("unknown")
+    );
+    assert_eq!(site.runs("with-key"), 1);
+}
+
+#[test]
+fn a_zone_that_is_out_gets_no_work_and_comes_back() {
+    let site = Site::start("zone", 2);
+    assert_eq!(site.operate(0, "/zones/sofia-a/out").status, 200);
+    let health = |wanted: &str| {
+        let owner = owner_of(&site, "sofia-a-d1");
+        owner.is_some_and(|owner| {
+            let status = site.status(owner);
+            let domains = status["domains"].as_array().unwrap().clone();
+            let domain = domains.iter().find(|d| d["name"] == "sofia-a-d1").unwrap();
+            domain["groups"]
+                .as_array()
+                .unwrap()
+                .iter()
+                .all(|g| g["health"] == wanted)
+        })
+    };
+    site.until("the zone drains", || health("draining"));
+    for entry in 0..2 {
+        assert_eq!(site.complete(entry, "out", 10), Ok(expected("out", 10)));
+    }
+    assert_eq!(site.operate(1, "/zones/sofia-a/in").status, 200);
+    site.until("the zone serves", || health("serving"));
+    assert_eq!(site.violations(), Default::default());
+}
+
+#[test]
+fn a_request_that_crashes_engines_is_refused_for_good() {
+    let site = Site::start("crash", 3);
+    let mut last = Ok(String::new());
+    for round in 0..6 {
+        last = site.complete(round % 3, "CRASH-ENGINE", 10);
+        assert!(last.is_err());
+    }
+    assert_eq!(last.unwrap_err()["status"], 422);
+    assert!(site.violations().crashes <= 2, "{:?}", site.violations());
+    site.until("others are served again", || {
+        site.complete(0, "harmless", 10) == Ok(expected("harmless", 10))
+    });
+}
+
+#[test]
+fn bad_requests_are_refused_at_once() {
+    let site = Site::start("bad", 1);
+    let at = site.entries[0].callers;
+    let post = |path: &str, body: Value| site.admin(at, trillium::Method::Post, path, body);
+    assert_eq!(post("/v1/chat/completions", json!({})).status, 401);
+    let unknown = site.post(0, "x", Some(&"k".repeat(300))).unwrap();
+    assert_eq!(unknown.status, 400);
+    let large = "x".repeat(2 << 20);
+    assert_eq!(site.post(0, &large, None).unwrap().status, 413);
+}
