fix: wait out a short gap in which no domain serves a pool

Cause: while a domain changes its owner, or after a worker was doubted, a request was refused as not run at once, though its pool served a second before and would again within its deadline; two process tests saw it (frozen owner, lost answer). Ruled out: a wrong outcome, each refusal was true. Change: a request waits while its pool served within a lease, its margin and an owner change; entries tell all others at once when a pool of an own domain begins or ceases to serve. The process tests build the command line they start, since a stale binary had hidden the change, and each has a loopback address of its own.

--- a/crates/cyclamen-entry/src/node/admission.rs
+++ b/crates/cyclamen-entry/src/node/admission.rs
@@ -20,6 +20,8 @@
 
 /// Domains that one request asks at the most, each once.
 const ASK_LIMIT: usize = 4;
+/// The time between two looks for a domain that serves.
+const GAP_TICK: Duration = Duration::from_millis(100);
 /// When to come back if no domain is known to serve.
 const NOT_SERVING_RETRY: Duration = Duration::from_secs(5);
 
@@ -118,11 +120,44 @@
     }
 
     /// Has a request admitted somewhere; `tried` lists domains that refused it before.
+    ///
+    /// Waits out a short gap in which no domain serves the pool.
     pub(crate) async fn admit(
         self: &Arc<Self>,
         request: &Request,
         tried: &mut BTreeSet<domain::Name>,
         hop: &Hop,
+    ) -> Result<Admitted, Refusal> {
+        loop {
+            let admitted = self.admit_now(request, tried, hop).await;
+            let now = self.now();
+            match admitted {
+                Ok(admitted) => {
+                    self.state().gaps.served(now, &request.pool);
+                    return Ok(admitted);
+                }
+                Err(Refusal::NotServing(wait)) => {
+                    let wait_for_it =
+                        self.state()
+                            .gaps
+                            .should_wait(now, &request.pool, request.deadline);
+                    if !wait_for_it {
+                        return Err(Refusal::NotServing(wait));
+                    }
+                    tried.clear();
+                    Timer::after(GAP_TICK).await;
+                }
+                Err(refusal) => return Err(refusal),
+            }
+        }
+    }
+
+    /// Has a request admitted by one of the domains that are known to serve.
+    async fn admit_now(
+        self: &Arc<Self>,
+        request: &Request,
+        tried: &mut BTreeSet<domain::Name>,
+        hop: &Hop,
     ) -> Result<Admitted, Refusal> {
         let mut last = Refusal::NotServing(NOT_SERVING_RETRY);
         for attempt in 0..ASK_LIMIT {
--- a/crates/cyclamen-entry/src/node/state.rs
+++ b/crates/cyclamen-entry/src/node/state.rs
@@ -1,6 +1,6 @@
 //! The state of the node.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,9 +8,9 @@
 use cyclamen_claim::Attempts;
 use cyclamen_domain::{Answer, Domain, Owner, Waiting};
 use cyclamen_lease::{Holder, Observer};
-use cyclamen_route::{Board, Budget, Limiter, Suspects, board, budget, limit, suspect};
+use cyclamen_route::{Board, Budget, Gaps, Limiter, Suspects, board, budget, limit, suspect};
 use cyclamen_tables::{Document, Pools, Routes};
-use cyclamen_types::{Time, domain, entry};
+use cyclamen_types::{Time, domain, entry, pool};
 use futures::channel::oneshot;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -21,6 +21,9 @@
 /// How long an attempt at a call that may not be repeated is remembered.
 const ATTEMPT_MEMORY: Duration = Duration::from_secs(24 * 3600);
 
+/// The time from the end of a lease until a new owner admits requests.
+const OWNER_CHANGE: Duration = Duration::from_secs(4);
+
 /// A request that waits in the queue of one of this entry's domains.
 pub(crate) type Waiter = (domain::Name, Waiting);
 
@@ -41,6 +44,8 @@
     pub(crate) board: Board,
     pub(crate) limiter: Limiter,
     pub(crate) budget: Budget,
+    pub(crate) gaps: Gaps,
+    pub(crate) announced: BTreeSet<(domain::Name, pool::Name)>,
     pub(crate) suspects: Suspects,
     pub(crate) attempts: Attempts,
     pub(crate) waiters: HashMap<Waiter, oneshot::Sender<Answer>>,
@@ -78,6 +83,8 @@
             board: Board::new(board::Options::default()),
             limiter: Limiter::new(lease.lifetime + lease.margin),
             budget: Budget::new(budget::Options::default()),
+            gaps: Gaps::new(lease.lifetime + lease.margin + OWNER_CHANGE),
+            announced: BTreeSet::new(),
             suspects: Suspects::new(suspect::Options::default()),
             attempts: Attempts::new(ATTEMPT_MEMORY),
             waiters: HashMap::new(),
--- a/crates/cyclamen-entry/src/tasks/mod.rs
+++ b/crates/cyclamen-entry/src/tasks/mod.rs
@@ -56,12 +56,26 @@
     ]
 }
 
-/// Answers waiting requests whose turn or deadline has come.
+/// Answers waiting requests whose turn or deadline has come, and tells the
+/// other entries at once when a pool of an own domain begins or ceases to serve.
 async fn wake(node: &Arc<Node>) {
     let now = node.now();
-    let mut state = node.state();
-    for name in own_domains(&state) {
-        state.wake(now, &name);
+    let news = {
+        let mut state = node.state();
+        for name in own_domains(&state) {
+            state.wake(now, &name);
+        }
+        state.note_own_domains(now);
+        let own = state.board.own();
+        let serving = own
+            .map(|(pool, domain, _)| (domain.clone(), pool.clone()))
+            .collect();
+        let news = serving != state.announced;
+        state.announced = serving;
+        news
+    };
+    if news {
+        tell_all(node);
     }
 }
 
--- a/crates/cyclamen-route/src/lib.rs
+++ b/crates/cyclamen-route/src/lib.rs
@@ -5,11 +5,13 @@
 
 pub mod board;
 pub mod budget;
+pub mod gap;
 pub mod limit;
 pub mod rendezvous;
 pub mod suspect;
 
 pub use board::Board;
 pub use budget::Budget;
+pub use gap::Gaps;
 pub use limit::Limiter;
 pub use suspect::Suspects;
--- a/crates/cyclamenpath/src/main.rs
+++ b/crates/cyclamenpath/src/main.rs
@@ -1,31 +1,5 @@
-//! The command line of cyclamenpath.
-
-mod command;
-mod operator;
-mod options;
-
-use clap::Parser;
-use log::LevelFilter;
-use simplelog::{ConfigBuilder, WriteLogger};
-
-use options::{Arguments, Command};
+//! The shipped binary.
 
 fn main() -> eyre::Result<()> {
-    let arguments = Arguments::parse();
-    start_log(arguments.log)?;
-    match arguments.command {
-        Command::Entry { settings } => command::entry::run(&settings),
-        Command::Check { settings } => command::check::run(&settings),
-        Command::Schema { of } => command::schema::run(of),
-        Command::Routes { action } => command::table::run("routes", action),
-        Command::Pools { action } => command::table::run("pools", action),
-        Command::Zone { action } => command::zone::run(action),
-        Command::Status { target } => command::status::run(target),
-        Command::KeyDigest { key } => command::key_digest::run(&key),
-    }
-}
-
-fn start_log(level: LevelFilter) -> eyre::Result<()> {
-    let config = ConfigBuilder::new().set_time_format_rfc3339().build();
-    Ok(WriteLogger::init(level, config, std::io::stderr())?)
+    cyclamenpath::run()
 }
--- a/dev/stand-in/tests/processes.rs
+++ b/dev/stand-in/tests/processes.rs
@@ -183,10 +183,8 @@
     );
     for (name, key) in [("with-key", Some("k1")), ("without-key", None)] {
         let reply = site.post(0, name, key).unwrap();
-        assert_eq!(
-            reply.headers.get_str("cyclamenpath-outcome"),
-            Some("unknown")
-        );
+        let outcome = reply.headers.get_str("cyclamenpath-outcome");
+        assert_eq!(outcome, Some("unknown"), "{reply:?}");
         assert_eq!(site.runs(name), 1);
     }
     let again = site.post(1, "with-key", Some("k1")).unwrap();
--- a/dev/stand-in/tests/site/mod.rs
+++ b/dev/stand-in/tests/site/mod.rs
@@ -1,13 +1,13 @@
 //! A small site of separate processes on loopback.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use cyclamen_http::{Caller, Reply, Request};
 use cyclamen_platform::{Client, Options};
-use cyclamen_stand_in::demo::{self, API_KEY, OPERATOR_TOKEN, loopback};
+use cyclamen_stand_in::demo::{self, API_KEY, OPERATOR_TOKEN};
 use cyclamen_stand_in::engine;
 use futures::StreamExt;
 use rustix::process::{Pid, Signal, kill_process};
@@ -73,32 +73,33 @@
     pub caller: Caller,
     _others: Vec<Process>,
     folder: PathBuf,
+    name: String,
 }
 
 pub const ZONES: [&str; 2] = ["sofia-a", "sofia-b"];
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind(loopback(0))
-        .unwrap()
-        .local_addr()
-        .unwrap()
+/// An address on loopback of this test alone, on a free port.
+fn free_address(name: &str) -> SocketAddr {
+    let sum: u32 = name.bytes().map(u32::from).sum();
+    let ip = IpAddr::from([127, 1, (sum / 250) as u8, (sum % 250 + 2) as u8]);
+    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
 }
 
 fn stand_in() -> PathBuf {
     PathBuf::from(env!("CARGO_BIN_EXE_cyclamenpath-stand-in"))
 }
 
-/// The shipped binary, which is built beside the stand-ins.
+/// The shipped command line.
 fn cyclamenpath() -> PathBuf {
-    stand_in().with_file_name("cyclamenpath")
+    PathBuf::from(env!("CARGO_BIN_EXE_cyclamenpath-tested"))
 }
 
 impl Site {
     pub fn start(name: &str, entries: usize) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).unwrap();
-        let platform = free_address();
-        let service = free_address();
+        let platform = free_address(name);
+        let service = free_address(name);
         let at = platform.to_string();
         let mut others = vec![Process::start(&stand_in(), &["platform", "--listen", &at])];
         others.push(Process::start(
@@ -145,6 +146,7 @@
             caller: Caller::new(cyclamen_http::Options::default()),
             _others: others,
             folder,
+            name: name.to_string(),
         };
         site.write_tables();
         for index in 0..entries {
@@ -181,9 +183,10 @@
     }
 
     pub fn start_entry(&mut self, index: usize) {
-        let listen = [free_address(), free_address(), free_address()];
+        let listen = [0; 3].map(|_| free_address(&self.name));
         let mut settings =
             demo::settings(&format!("entry-{index}"), self.platform, listen).unwrap();
+        settings.peer_allowed.push(listen[2].ip());
         settings.zone = ZONES[index % ZONES.len()].parse().unwrap();
         let file = self.folder.join(format!("entry-{index}.json"));
         std::fs::write(&file, serde_json::to_vec(&settings).unwrap()).unwrap();
