--- a/crates/cyclamen-entry/src/node/admission.rs
+++ b/crates/cyclamen-entry/src/node/admission.rs
@@ -274,10 +274,7 @@
             Ok(answer) => {
                 let now = self.now();
                 if let Some(notice) = answer.summary {
-                    let mut state = self.state();
-                    state
-                        .board
-                        .note(now, &notice.domain, &notice.pool, notice.summary, false);
+                    self.state().note_summary(now, &notice);
                 }
                 Some(answer.admission)
             }
@@ -379,12 +376,14 @@
         let Self {
             domains,
             board,
+            gaps,
             pools,
             ..
         } = self;
         board.forget_own();
         for (name, domain) in domains.iter_mut().filter(|(_, d)| d.is_mine()) {
             for summary in domain.summaries(now, &pools.body) {
+                gaps.served(now, &summary.pool);
                 board.note(now, name, &summary.pool, board_summary(&summary), true);
             }
         }
--- a/crates/cyclamen-entry/src/node/state.rs
+++ b/crates/cyclamen-entry/src/node/state.rs
@@ -8,6 +8,7 @@
 use cyclamen_claim::Attempts;
 use cyclamen_domain::{Answer, Domain, Owner, Waiting};
 use cyclamen_lease::{Holder, Observer};
+use cyclamen_peer::message::Notice;
 use cyclamen_route::{Board, Budget, Gaps, Limiter, Suspects, board, budget, limit, suspect};
 use cyclamen_tables::{Document, Pools, Routes};
 use cyclamen_types::{Time, domain, entry, pool};
@@ -22,7 +23,7 @@
 const ATTEMPT_MEMORY: Duration = Duration::from_secs(24 * 3600);
 
 /// The time from the end of a lease until a new owner admits requests.
-const OWNER_CHANGE: Duration = Duration::from_secs(4);
+const OWNER_CHANGE: Duration = Duration::from_secs(8);
 
 /// A request that waits in the queue of one of this entry's domains.
 pub(crate) type Waiter = (domain::Name, Waiting);
@@ -110,6 +111,19 @@
         }
     }
 
+    /// Takes note of the state of a pool in a domain, by its owner's word.
+    pub(crate) fn note_summary(&mut self, now: Time, notice: &Notice) {
+        let Notice {
+            pool,
+            domain,
+            summary,
+        } = notice;
+        if summary.serving > 0 {
+            self.gaps.served(now, pool);
+        }
+        self.board.note(now, domain, pool, *summary, false);
+    }
+
     /// Takes note of when each live entry was first seen.
     pub(crate) fn note_arrivals(&mut self, now: Time) {
         let entries = &self.entries;
--- a/crates/cyclamen-entry/src/settings.rs
+++ b/crates/cyclamen-entry/src/settings.rs
@@ -75,9 +75,9 @@
 impl Default for Timing {
     fn default() -> Self {
         Self {
-            lease_ms: 6_000,
-            renew_every_ms: 2_000,
-            sync_every_ms: 1_000,
+            lease_ms: 4_000,
+            renew_every_ms: 1_000,
+            sync_every_ms: 500,
             list_every_ms: 2_000,
             gossip_every_ms: 1_000,
             probe_every_ms: 500,
--- a/crates/cyclamen-entry/src/tasks/gossip.rs
+++ b/crates/cyclamen-entry/src/tasks/gossip.rs
@@ -61,9 +61,7 @@
             .get(&notice.domain)
             .is_some_and(|d| d.is_mine());
         if !mine {
-            state
-                .board
-                .note(now, &notice.domain, &notice.pool, notice.summary, false);
+            state.note_summary(now, &notice);
         }
     }
     for strike in news.strikes {
--- a/dev/stand-in/src/main.rs
+++ b/dev/stand-in/src/main.rs
@@ -70,6 +70,24 @@
         #[arg(long)]
         instance: instance::Id,
     },
+    /// Print sample settings of an entry.
+    Settings {
+        /// The name of the entry.
+        #[arg(long)]
+        name: String,
+        /// The platform.
+        #[arg(long)]
+        platform: SocketAddr,
+        /// The first of three ports in a row.
+        #[arg(long)]
+        port: u16,
+    },
+    /// Write the sample tables to a platform.
+    Tables {
+        /// The platform.
+        #[arg(long)]
+        platform: SocketAddr,
+    },
     /// Everything on loopback in one process, until it is interrupted.
     Demo,
 }
@@ -118,6 +136,27 @@
             smol::block_on(register::run(platform, move || vec![listing.clone()]));
             Ok(())
         }
+        Command::Settings {
+            name,
+            platform,
+            port,
+        } => {
+            let listen = [port, port + 1, port + 2].map(demo::loopback);
+            let settings = demo::settings(&name, platform, listen)?;
+            println!("{}", serde_json::to_string_pretty(&settings)?);
+            Ok(())
+        }
+        Command::Tables { platform } => {
+            let caller = cyclamen_http::Caller::new(cyclamen_http::Options::default());
+            let options = cyclamen_platform::Options {
+                address: platform,
+                timeout: std::time::Duration::from_secs(2),
+            };
+            let client = cyclamen_platform::Client::new(caller, options);
+            let tables = demo::first_tables(demo::routes()?, demo::pools()?);
+            smol::block_on(client.transact(&tables))?;
+            Ok(())
+        }
         Command::Demo => demo::run(),
     }
 }
--- a/dev/stand-in/tests/site/mod.rs
+++ b/dev/stand-in/tests/site/mod.rs
@@ -202,7 +202,11 @@
     pub fn until(&self, what: &str, condition: impl Fn() -> bool) {
         let begin = Instant::now();
         while !condition() {
-            assert!(begin.elapsed() < HANG, "{what} never became true");
+            assert!(
+                begin.elapsed() < HANG,
+                "{what} never became true: {:#}",
+                self.statuses()
+            );
             std::thread::sleep(TICK);
         }
     }
@@ -284,6 +288,13 @@
         reply.ok().and_then(|r| r.json().ok()).unwrap_or_default()
     }
 
+    /// The status of every entry.
+    fn statuses(&self) -> Value {
+        (0..self.entries.len())
+            .map(|entry| self.status(entry))
+            .collect()
+    }
+
     pub fn admin(&self, at: SocketAddr, method: Method, path: &str, body: Value) -> Reply {
         let request = Request {
             method,
