--- a/crates/cyclamen-domain/tests/domain/main.rs
+++ b/crates/cyclamen-domain/tests/domain/main.rs
@@ -4,4 +4,5 @@
 
 mod found;
 mod groups;
+mod queue;
 mod world;
--- a/crates/cyclamen-domain/tests/domain/world.rs
+++ b/crates/cyclamen-domain/tests/domain/world.rs
@@ -304,8 +304,23 @@
 
     /// A caller's request comes to a side; the grant, if there is one.
     pub fn ask(&mut self, side: usize) -> Option<Grant> {
+        let ask = self.request(side);
+        let now = self.now;
+        let asked = &mut self.sides[side];
+        let answer = asked
+            .domain
+            .admit(now, ask, &asked.pools.clone(), asked.holds);
+        let Answer::Granted(grant) = answer else {
+            return None;
+        };
+        self.take(side, &grant);
+        Some(grant)
+    }
+
+    /// A request of one team that does not wait.
+    pub fn request(&mut self, side: usize) -> Ask {
         self.next_ticket += 1;
-        let ask = Ask {
+        Ask {
             ticket: group::Ticket(self.next_ticket),
             pool: "llm".parse().unwrap(),
             team: "vets".parse().unwrap(),
@@ -315,23 +330,18 @@
             suspect: false,
             patient: false,
             holder: self.sides[side].owner.clone(),
-        };
-        let now = self.now;
-        let asked = &mut self.sides[side];
-        let answer = asked
-            .domain
-            .admit(now, ask, &asked.pools.clone(), asked.holds);
-        let Answer::Granted(grant) = answer else {
-            return None;
-        };
+        }
+    }
+
+    /// The holder of a request learns of its grant.
+    pub fn take(&mut self, side: usize, grant: &Grant) {
         self.open.push(Open {
             side,
             grant: grant.clone(),
-            at: now,
+            at: self.now,
             worker: index(&grant.instance),
             started: false,
         });
-        Some(grant)
     }
 
     /// A granted request reaches its worker, which takes it if it is in that group.
--- a/crates/cyclamen-entry/src/node/state.rs
+++ b/crates/cyclamen-entry/src/node/state.rs
@@ -9,7 +9,9 @@
 use cyclamen_domain::{Answer, Domain, Owner, Waiting};
 use cyclamen_lease::{Holder, Observer};
 use cyclamen_peer::message::Notice;
-use cyclamen_route::{Board, Budget, Gaps, Limiter, Suspects, board, budget, limit, suspect};
+use cyclamen_route::{
+    Board, Budget, Gaps, Limiter, Suspects, board, budget, limit, rendezvous, suspect,
+};
 use cyclamen_tables::{Document, Pools, Routes};
 use cyclamen_types::{Time, domain, entry, pool};
 use futures::channel::oneshot;
@@ -41,6 +43,9 @@
     pub(crate) pools: Arc<Document<Pools>>,
     pub(crate) entries: BTreeMap<Owner, Entry>,
     pub(crate) arrivals: BTreeMap<Owner, Time>,
+    /// The entries for which `responsible` was computed.
+    arranged: Vec<Owner>,
+    pub(crate) responsible: BTreeMap<domain::Name, Owner>,
     pub(crate) domains: BTreeMap<domain::Name, Domain>,
     pub(crate) board: Board,
     pub(crate) limiter: Limiter,
@@ -80,6 +85,8 @@
             pools: Arc::default(),
             entries: BTreeMap::new(),
             arrivals: BTreeMap::new(),
+            arranged: Vec::new(),
+            responsible: BTreeMap::new(),
             domains: BTreeMap::new(),
             board: Board::new(board::Options::default()),
             limiter: Limiter::new(lease.lifetime + lease.margin),
@@ -133,6 +140,18 @@
         }
     }
 
+    /// Brings up to date which entry is responsible for which domain.
+    pub(crate) fn arrange_domains(&mut self) {
+        let candidates: Vec<Owner> = self.candidates().cloned().collect();
+        let names = self.responsible.keys();
+        if candidates == self.arranged && names.eq(self.domains.keys()) {
+            return;
+        }
+        let names = self.domains.keys().cloned();
+        self.responsible = rendezvous::balanced(names, candidates.iter().cloned());
+        self.arranged = candidates;
+    }
+
     /// The entries that may own domains.
     pub(crate) fn candidates(&self) -> impl Iterator<Item = &Owner> {
         let stay = self.entries.iter().filter(|(_, entry)| !entry.draining);
--- a/crates/cyclamen-entry/src/tasks/own.rs
+++ b/crates/cyclamen-entry/src/tasks/own.rs
@@ -6,7 +6,6 @@
 use cyclamen_cache::{Key, Revision};
 use cyclamen_domain::{Owner, Row, Step};
 use cyclamen_platform::{Outcome, Transaction, keys};
-use cyclamen_route::rendezvous;
 use cyclamen_types::{Time, domain};
 
 use crate::node::{Node, State};
@@ -40,6 +39,7 @@
         return Vec::new();
     }
     state.note_arrivals(now);
+    state.arrange_domains();
     let names = state.domains.keys();
     names
         .filter_map(|name| take_over(state, name).or_else(|| hand_over(state, name, now)))
@@ -53,7 +53,7 @@
     if former.is_some_and(|owner| state.entries.contains_key(owner)) {
         return None;
     }
-    let responsible = rendezvous::first(name, state.candidates())?;
+    let responsible = state.responsible.get(name)?;
     if *responsible != state.me {
         return None;
     }
@@ -68,7 +68,7 @@
 /// Hands a domain to the entry that is responsible for it by now.
 fn hand_over(state: &State, name: &domain::Name, now: Time) -> Option<Move> {
     let domain = state.domains.get(name).filter(|d| d.is_mine())?;
-    let responsible = rendezvous::first(name, state.candidates())?;
+    let responsible = state.responsible.get(name)?;
     if *responsible == state.me || domain.waiting() > 0 {
         return None;
     }
--- a/crates/cyclamenpath/src/lib.rs
+++ b/crates/cyclamenpath/src/lib.rs
@@ -1,19 +1,18 @@
 //! The command line of cyclamenpath, as a library for its thin binary.
 
 mod command;
+mod line;
 mod operator;
 mod options;
 
 use clap::Parser;
-use log::LevelFilter;
-use simplelog::{ConfigBuilder, WriteLogger};
 
 use options::{Arguments, Command};
 
 /// Runs the command that the arguments of the process name.
 pub fn run() -> eyre::Result<()> {
     let arguments = Arguments::parse();
-    start_log(arguments.log)?;
+    line::start(arguments.log)?;
     match arguments.command {
         Command::Entry { settings } => command::entry::run(&settings),
         Command::Check { settings } => command::check::run(&settings),
@@ -25,8 +24,3 @@
         Command::KeyDigest { key } => command::key_digest::run(&key),
     }
 }
-
-fn start_log(level: LevelFilter) -> eyre::Result<()> {
-    let config = ConfigBuilder::new().set_time_format_rfc3339().build();
-    Ok(WriteLogger::init(level, config, std::io::stderr())?)
-}
--- a/dev/bench/site.sh
+++ b/dev/bench/site.sh
@@ -37,6 +37,9 @@
     "$bin/cyclamenpath-bench" idle "${measured[@]}" --seconds "$4"
 else
     "$bin/cyclamenpath-bench" load "${targets[@]}" "${measured[@]}" --rate "$4" --seconds "$5" --tokens "$6"
+    echo "straight to the engines of entry 1:"
+    "$bin/cyclamenpath-bench" load --straight 127.0.0.1:20004 --platform $platform \
+        --rate "$4" --seconds "$5" --tokens "$6"
 fi
 echo "before $before"
 echo "after $(counters) peer $(metric peer_bytes_written) asks $(metric admissions_asked_of_peers_total)"
--- a/dev/bench/src/load.rs
+++ b/dev/bench/src/load.rs
@@ -4,15 +4,17 @@
 use std::time::{Duration, Instant};
 
 use clap::Args;
+use cyclamen_domain::report::Assignment;
 use cyclamen_endpoint::{FENCE_HEADER, GROUP_HEADER, OUTCOME_HEADER};
 use cyclamen_http::{Caller, Request};
-use cyclamen_stand_in::demo::API_KEY;
+use cyclamen_platform::instances::List;
+use cyclamen_stand_in::demo::{API_KEY, OPERATOR_TOKEN};
 use futures::StreamExt;
 use hdrhistogram::Histogram;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
-use serde_json::json;
+use serde_json::{Value, json};
 use smol::Timer;
 use trillium::{Headers, Method};
 
@@ -22,7 +24,7 @@
 #[derive(Debug, Args)]
 pub(crate) struct Options {
     /// Entries, on loopback.
-    #[arg(long, required = true)]
+    #[arg(long)]
     entry: Vec<SocketAddr>,
     /// Processes whose use is measured.
     #[arg(long)]
@@ -39,9 +41,12 @@
     /// The seed of arrivals.
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// The group and fencing number to send straight to an engine.
-    #[arg(long, num_args = 2)]
-    group: Vec<String>,
+    /// The operators' listener of an entry; requests go straight to the engines it owns.
+    #[arg(long, requires = "platform")]
+    straight: Option<SocketAddr>,
+    /// The platform, which knows where the engines listen.
+    #[arg(long)]
+    platform: Option<SocketAddr>,
 }
 
 /// The longest run, in seconds, and the highest rate.
@@ -80,8 +85,10 @@
 }
 
 pub(crate) fn run(options: &Options) -> eyre::Result<()> {
+    let targets = targets(options)?;
+    eyre::ensure!(!targets.is_empty(), "there is nothing to send to");
     eyre::ensure!(
-        options.entry.iter().all(|e| e.ip().is_loopback()),
+        targets.iter().all(|t| t.address.ip().is_loopback()),
         "load goes to loopback only"
     );
     eyre::ensure!(
@@ -93,7 +100,7 @@
     };
     let before = cpu(&options.pid)?;
     let begin = Instant::now();
-    let ends = smol::block_on(send(options));
+    let ends = smol::block_on(send(options, &targets));
     let took = begin.elapsed().as_secs_f64();
     let spent = cpu(&options.pid)? - before;
     let memory: Vec<_> = options
@@ -105,7 +112,54 @@
     report::print(&[summary(&ends, took, spent, most)?])
 }
 
-async fn send(options: &Options) -> Vec<End> {
+/// Where requests go: an entry, or a group's first member.
+#[derive(Debug, Clone)]
+struct Target {
+    address: SocketAddr,
+    group: Option<Assignment>,
+}
+
+fn targets(options: &Options) -> eyre::Result<Vec<Target>> {
+    let (Some(operators), Some(platform)) = (options.straight, options.platform) else {
+        let entries = options.entry.iter().map(|address| Target {
+            address: *address,
+            group: None,
+        });
+        return Ok(entries.collect());
+    };
+    let caller = Caller::new(cyclamen_http::Options::default());
+    let mut headers = Headers::new();
+    headers.insert("authorization", format!("Bearer {OPERATOR_TOKEN}"));
+    let request = Request {
+        url: &format!("http://{operators}/status"),
+        headers,
+        ..Request::default()
+    };
+    let status: Value = smol::block_on(caller.call(request))?.json()?;
+    let url = format!("http://{platform}/instances");
+    let list: List = smol::block_on(caller.get_json(&url, TIMEOUT))?;
+    let domains = status["domains"].as_array().into_iter().flatten();
+    let groups = domains.flat_map(|d| d["groups"].as_array().into_iter().flatten());
+    let serving = groups.filter(|g| g["health"] == "serving");
+    Ok(serving.filter_map(|group| target(group, &list)).collect())
+}
+
+fn target(group: &Value, list: &List) -> Option<Target> {
+    let first = group["members"][0].as_str()?;
+    let listing = list
+        .instances
+        .iter()
+        .find(|l| l.instance.as_str() == first)?;
+    Some(Target {
+        address: listing.address,
+        group: Some(Assignment {
+            group: group["id"].as_str()?.parse().ok()?,
+            fence: cyclamen_types::group::Fence(group["fence"].as_u64()?),
+        }),
+    })
+}
+
+async fn send(options: &Options, targets: &[Target]) -> Vec<End> {
     let mut rng = SmallRng::seed_from_u64(options.seed);
     let caller = Caller::new(cyclamen_http::Options::default());
     let begin = Instant::now();
@@ -114,26 +168,26 @@
     while at < options.seconds {
         at += -(1.0 - rng.random::<f64>()).ln() / options.rate;
         Timer::at(begin + Duration::from_secs_f64(at)).await;
-        let entry = options.entry[rng.random_range(0..options.entry.len())];
-        let one = one(caller.clone(), entry, options.tokens, options.group.clone());
+        let target = targets[rng.random_range(0..targets.len())].clone();
+        let one = one(caller.clone(), target, options.tokens);
         running.push(smol::spawn(one));
     }
     futures::future::join_all(running).await
 }
 
-async fn one(caller: Caller, entry: SocketAddr, tokens: u64, group: Vec<String>) -> End {
+async fn one(caller: Caller, target: Target, tokens: u64) -> End {
     let mut headers = Headers::new();
     headers.insert("authorization", format!("Bearer {API_KEY}"));
     headers.insert("content-type", "application/json");
-    if let [group, fence] = &group[..] {
-        headers.insert(GROUP_HEADER, group.clone());
-        headers.insert(FENCE_HEADER, fence.clone());
+    if let Some(assignment) = &target.group {
+        headers.insert(GROUP_HEADER, assignment.group.to_string());
+        headers.insert(FENCE_HEADER, assignment.fence.to_string());
     }
     let body = json!({
         "model": "herd-llm", "stream": true, "max_tokens": tokens,
         "messages": [{"role": "user", "content": "count the herd"}],
     });
-    let url = format!("http://{entry}/v1/chat/completions");
+    let url = format!("http://{}/v1/chat/completions", target.address);
     let request = Request {
         method: Method::Post,
         url: &url,
