--- a/dev/bench/site.sh
+++ b/dev/bench/site.sh
@@ -26,11 +26,11 @@
     measured+=(--pid $!)
     targets+=(--entry "127.0.0.1:$port")
 done
-sleep 25
+sleep "${SETTLE:-25}"
 counters() { curl -s "http://$platform/admin/counters"; }
 metric() {
     for i in $(seq 1 "$entries"); do curl -s "http://127.0.0.1:$((20001 + 3 * i))/metrics"; done |
-        awk -v name="$1" '$1 ~ "^"name"({|$)" {sum += $2} END {print sum + 0}'
+        awk -v name="$1" 'index($1, name) == 1 {sum += $2} END {print sum + 0}'
 }
 before="$(counters) peer $(metric peer_bytes_written) asks $(metric admissions_asked_of_peers_total)"
 if [ "$what" = idle ]; then
