test: build every fault afresh

Cause: a copy restored the times of its files, so a build could hold the fault before it; drain-does-not-wait failed in its start for that reason.

--- a/dev/faults/show.sh
+++ b/dev/faults/show.sh
@@ -13,7 +13,8 @@
 missed=0
 for name in "${names[@]}"; do
     rm -rf "$tree/copy" && mkdir "$tree/copy"
-    git archive HEAD | tar -x -C "$tree/copy"
+    # Fresh times, so that no build of an earlier fault is taken for this one.
+    git archive HEAD | tar -x -m -C "$tree/copy"
     cp "dev/faults/$name.patch" "$tree/fault.patch"
     patch -s -p1 -d "$tree/copy" < "$tree/fault.patch"
     check=$(sed -n 's/^# check: //p' "$tree/fault.patch")
