--- a/crates/cyclamen-entry/src/node/mod.rs
+++ b/crates/cyclamen-entry/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The node: everything that this entry knows and may decide.
 
 mod admission;
+mod decide;
 mod follow;
 mod record;
 mod state;
