--- /dev/null
+++ b/crates/cyclamen-dispatch/src/lib.rs
@@ -0,0 +1,15 @@
+//! Which worker takes a request, and when one is refused.
+//!
+//! An entry sends straight to the heads of replica groups and to the workers
+//! of plain services. It counts its own requests on each and hears the counts
+//! of other entries a few times a second. What must be exact over all entries,
+//! the work of cold workers, is divided into fixed parts.
+
+mod allowance;
+mod dispatcher;
+mod estimate;
+mod retries;
+
+pub use allowance::Allowance;
+pub use dispatcher::{Dispatcher, End, Load, Options, Reason, Refusal, Sent, Target, Want};
+pub use retries::Retries;
--- a/crates/cyclamen-entry/src/run.rs
+++ b/crates/cyclamen-entry/src/run.rs
@@ -74,7 +74,7 @@
     let options = cyclamen_peer::Options {
         listen: settings.peer_listen,
         secret: settings.peer_secret.reveal().clone(),
-        allowed: settings.peer_allowed.clone(),
+        allowed: cyclamen_peer::Allowed::Only(settings.peer_allowed.clone()),
     };
     let node = Node::new(settings, metrics);
     let peers = cyclamen_peer::start(options, Arc::new(Answers(node.clone())))
--- a/crates/cyclamen-entry/src/tasks/gossip.rs
+++ b/crates/cyclamen-entry/src/tasks/gossip.rs
@@ -84,6 +84,8 @@
         summaries: summaries(&state),
         strikes: state.suspects.strikes().take(NOTICE_LIMIT).collect(),
         delta: delta.unwrap_or_default(),
+        loads: Vec::new(),
+        doubts: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/crates/cyclamen-gateway/src/edge/worker.rs
@@ -0,0 +1,29 @@
+//! What workers answer to orders and questions.
+
+/// What a worker made of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Followed {
+    /// It has begun, or the state already holds.
+    Accepted,
+    /// It does not fit the worker's state.
+    Unfitting,
+    /// A higher fencing number was seen.
+    Fenced,
+    /// Another worker has the address.
+    Misdirected,
+    /// The worker refused it otherwise, with this status.
+    Refused(u16),
+    /// No connection was made.
+    Unreachable,
+    /// No answer came; the order may still be carried out.
+    Lost,
+}
+
+/// What a worker says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait for a place.
+    pub queued: u32,
+}
--- /dev/null
+++ b/crates/cyclamen-gateway/src/front/job.rs
@@ -0,0 +1,285 @@
+//! A caller's request, checked and read.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cyclamen_directory::route::Repeat;
+use cyclamen_directory::service::Service;
+use cyclamen_directory::team::Key;
+use cyclamen_directory::{Catalog, Route, Team};
+use cyclamen_dispatch::{End, Sent, Want};
+use cyclamen_types::{Time, instance, model, pool};
+use rand::Rng;
+use smol::Timer;
+use smol::future::or;
+use trillium::{Conn, Headers, KnownHeaderName, Method};
+
+use crate::front::refusal::Refusal;
+use crate::node::Node;
+
+/// The time to read a request body.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// Connections to other workers that a request tries after one could not be made.
+const CONNECT_TRIES: u32 = 3;
+
+/// A caller's request.
+pub(crate) struct Job {
+    pub(crate) node: Arc<Node>,
+    pub(crate) id: Arc<str>,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<Service>,
+    pub(crate) team: Option<Arc<Team>>,
+    pub(crate) model: Option<model::Name>,
+    pub(crate) method: Method,
+    pub(crate) path: Arc<str>,
+    /// The caller's headers without those that the system sets.
+    pub(crate) headers: Headers,
+    pub(crate) body: Vec<u8>,
+    pub(crate) arrived: Time,
+    pub(crate) deadline: Time,
+    /// Workers that the request was sent to.
+    pub(crate) tried: Vec<instance::Id>,
+    /// Whether a worker may have run the request.
+    pub(crate) may_have_run: bool,
+    unconnected: u32,
+    ended: bool,
+}
+
+impl Job {
+    /// Checks a request and reads its body.
+    pub(crate) async fn read(node: &Arc<Node>, conn: &mut Conn) -> Result<Self, Refusal> {
+        let arrived = node.now();
+        let catalog = node.state().catalog.clone();
+        let checked = check(node, &catalog, conn);
+        let (route, team) = checked.inspect_err(|refusal| log_refused(node, conn, *refusal))?;
+        let dialect = node.platform.dialect();
+        let header = |name: &'static str| conn.request_headers().get_str(name);
+        let id: Arc<str> = header(dialect.request_id).unwrap_or_default().into();
+        let asked = header(dialect.deadline_ms).and_then(|text| text.parse::<u64>().ok());
+        let asked = asked.map_or(route.timeout, Duration::from_millis);
+        let deadline = arrived + asked.min(route.timeout);
+        let draw = node.state().rng.random();
+        let service = route.target(draw).and_then(|name| catalog.service(name));
+        let service = service.ok_or(Refusal::unconfigured())?.clone();
+        let model = header(dialect.model).and_then(|text| text.parse().ok());
+        let model = model.filter(|_| service.engine.is_some());
+        let mut headers = cyclamen_relay::end_to_end(conn.request_headers());
+        headers.remove_all([
+            dialect.deadline_ms,
+            dialect.instance,
+            dialect.team,
+            dialect.urgency,
+        ]);
+        headers.remove(KnownHeaderName::Authorization);
+        let mut job = Self {
+            node: node.clone(),
+            id,
+            team,
+            model,
+            method: conn.method(),
+            path: conn.path_and_query().into(),
+            headers,
+            body: Vec::new(),
+            arrived,
+            deadline,
+            tried: Vec::new(),
+            may_have_run: false,
+            unconnected: 0,
+            ended: false,
+            service,
+            route,
+        };
+        node.state().in_progress += 1;
+        job.body = match read_body(conn, catalog.limits().body_bytes).await {
+            Ok(body) => body,
+            Err(refusal) => return Err(job.refused(refusal)),
+        };
+        let now = node.now();
+        node.state().retries(&job.service.name).earn(now);
+        Ok(job)
+    }
+
+    /// The time left until the deadline.
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.since(self.node.now())
+    }
+
+    /// Chooses a worker and counts the request on it.
+    pub(crate) fn choose(&mut self) -> Result<Sent, Refusal> {
+        let now = self.node.now();
+        let mut guard = self.node.state();
+        let state = &mut *guard;
+        let priority = self.priority();
+        let want = Want {
+            service: &self.service.name,
+            model: self.model.as_ref(),
+            zone: &state.zone,
+            avoid: &self.tried,
+            goal: self.route.goal,
+            left: self.deadline.since(now),
+            urgency: 1.0 / (1.0 + f64::from(priority)),
+            entries: state.peers.len() + 1,
+        };
+        let chosen = state.dispatcher.choose(now, &want, &mut state.rng);
+        chosen.map_err(|refusal| Refusal::not_now(refusal.reason.as_str(), refusal.retry_after))
+    }
+
+    /// The rank of the request; the team's goes before the route's.
+    pub(crate) fn priority(&self) -> u8 {
+        let team = self.team.as_ref().and_then(|team| team.priority);
+        team.unwrap_or(self.route.priority).0
+    }
+
+    /// Takes note of how the request ended on a worker.
+    pub(crate) fn release(&self, sent: &Sent, end: End) {
+        let now = self.node.now();
+        self.node.state().dispatcher.ended(now, sent, end);
+    }
+
+    /// Takes note that no connection to a worker was made; whether another may be tried.
+    pub(crate) fn not_connected(&mut self, sent: &Sent) -> bool {
+        self.tried.push(sent.target.instance.clone());
+        self.unconnected += 1;
+        self.unconnected < CONNECT_TRIES && !self.left().is_zero()
+    }
+
+    /// Whether the request may be sent to one more worker; spends a retry if so.
+    pub(crate) fn may_retry(&mut self) -> bool {
+        let sends = self.tried.len() as u32 - self.unconnected.min(self.tried.len() as u32);
+        if sends >= self.route.attempts || self.left().is_zero() {
+            return false;
+        }
+        let now = self.node.now();
+        let mut state = self.node.state();
+        let entries = state.entries();
+        let granted = state.retries(&self.service.name).spend(now, entries);
+        drop(state);
+        if granted {
+            self.node.metrics.retried();
+        } else {
+            log::info!(
+                "event=retry_denied id={} service={} entries={entries}",
+                self.id,
+                self.service.name
+            );
+        }
+        granted
+    }
+
+    /// Whether the request may be sent again after it may have run.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        self.route.repeat != Repeat::Never
+    }
+
+    /// Logs and counts the end of the request.
+    pub(crate) fn end(&mut self, outcome: &'static str, status: u16, instance: Option<&Sent>) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now = self.node.now();
+        let took = now.since(self.arrived);
+        let mut state = self.node.state();
+        state.in_progress = state.in_progress.saturating_sub(1);
+        let version = state.catalog.version();
+        drop(state);
+        let service = self.service.name.as_str();
+        self.node.metrics.ended(service, outcome, took);
+        let worker = instance.map_or("none", |sent| sent.target.instance.as_str());
+        let running = instance.map_or(0, |sent| sent.running);
+        log::info!(
+            "event=request id={} route={} service={service} outcome={outcome} status={status} \
+             instance={worker} running={running} tried={} took_ms={} version={version}",
+            self.id,
+            self.route.name,
+            self.tried.len(),
+            took.as_millis()
+        );
+    }
+
+    /// Logs and counts a refusal, which does not say "not run" if that is not certain.
+    pub(crate) fn refused(&mut self, refusal: Refusal) -> Refusal {
+        let refusal = if self.may_have_run && refusal.retry_after.is_some() {
+            Refusal::failed(refusal.reason)
+        } else {
+            refusal
+        };
+        self.end(refusal.reason, refusal.status, None);
+        refusal
+    }
+
+    /// The service's name.
+    pub(crate) fn service_name(&self) -> &pool::Service {
+        &self.service.name
+    }
+}
+
+impl Drop for Job {
+    fn drop(&mut self) {
+        self.end("caller_gone", 0, None);
+    }
+}
+
+/// Finds the route and the team of a request.
+fn check(
+    node: &Node,
+    catalog: &Catalog,
+    conn: &Conn,
+) -> Result<(Arc<Route>, Option<Arc<Team>>), Refusal> {
+    if !node.state().is_configured() {
+        return Err(Refusal::unconfigured());
+    }
+    let headers = conn.request_headers();
+    if cyclamen_relay::is_framed_twice(headers) {
+        return Err(Refusal::invalid(400, "framed_twice"));
+    }
+    let host = conn.host().unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    let route = catalog.route(host, conn.path());
+    let route = route.ok_or(Refusal::invalid(404, "no_route"))?;
+    let dialect = node.platform.dialect();
+    let id = headers.get_str(dialect.request_id).unwrap_or_default();
+    if id.is_empty() {
+        return Err(Refusal::invalid(400, "no_request_id"));
+    }
+    let header = headers.get_str(KnownHeaderName::Authorization);
+    let key = header.and_then(|h| h.strip_prefix(dialect.key_scheme));
+    let team = key.and_then(|key| catalog.team(&Key::new(key.trim())));
+    if team.is_none() && catalog.has_teams() && !route.anonymous {
+        return Err(Refusal::invalid(401, "unknown_key"));
+    }
+    Ok((route.clone(), team.cloned()))
+}
+
+fn log_refused(node: &Node, conn: &Conn, refusal: Refusal) {
+    let id = conn
+        .request_headers()
+        .get_str(node.platform.dialect().request_id);
+    let version = node.state().catalog.version();
+    node.metrics.ended("none", refusal.reason, Duration::ZERO);
+    log::info!(
+        "event=request id={} outcome={} status={} host={:?} path={:?} version={version}",
+        id.unwrap_or("none"),
+        refusal.reason,
+        refusal.status,
+        conn.host().unwrap_or_default(),
+        conn.path()
+    );
+}
+
+async fn read_body(conn: &mut Conn, limit: u64) -> Result<Vec<u8>, Refusal> {
+    let reading = async {
+        let body = conn.request_body().with_max_len(limit);
+        match body.read_bytes().await {
+            Ok(bytes) => Ok(bytes),
+            Err(trillium_http::Error::ReceivedBodyTooLong(_)) => {
+                Err(Refusal::invalid(413, "body_too_long"))
+            }
+            Err(_) => Err(Refusal::invalid(400, "body_not_read")),
+        }
+    };
+    let late = async {
+        Timer::after(BODY_TIME).await;
+        Err(Refusal::invalid(408, "body_late"))
+    };
+    or(reading, late).await
+}
--- /dev/null
+++ b/crates/cyclamen-gateway/src/front/stream.rs
@@ -0,0 +1,421 @@
+//! Streams of events, which go on at another worker where one fails.
+
+use std::io;
+use std::time::Duration;
+
+use cyclamen_directory::route::Repeat;
+use cyclamen_dispatch::{End, Sent};
+use cyclamen_http::{Answer, Error};
+use cyclamen_relay::Events;
+use cyclamen_types::Time;
+use futures::{AsyncReadExt, TryStreamExt, stream};
+use smol::Timer;
+use smol::future::or;
+use trillium::{Body, Conn, Headers};
+
+use crate::front::answer::{Verdict, judge};
+use crate::front::job::Job;
+use crate::front::refusal::Refusal;
+use crate::front::send::send;
+use crate::settings::span;
+use crate::tasks;
+
+/// Bytes that are read from a worker at a time.
+const READ_BYTES: usize = 8 << 10;
+/// The time between two looks at whether a silent worker still serves.
+const SILENCE_TICK: Duration = Duration::from_millis(40);
+/// The time after which callers may come back when no worker took their stream.
+const RECONNECT_WAIT: Duration = Duration::from_millis(300);
+
+/// Answers with a stream, once its first event or another whole answer is there.
+pub(crate) async fn answer(job: Job, conn: &mut Conn) -> Result<(), Refusal> {
+    let last = job.node.platform.dialect().last_event_id;
+    let last = conn.request_headers().get_str(last);
+    let mut relay = Relay {
+        delivered: last.and_then(|text| text.parse().ok()),
+        job,
+        open: None,
+    };
+    let first = conn.cancel_on_disconnect(relay.begin()).await;
+    let Some(first) = first else {
+        relay.job.end("caller_gone", 0, None);
+        return Err(Refusal::failed("caller_gone"));
+    };
+    let Begun {
+        status,
+        headers,
+        part,
+    } = first.map_err(|refusal| relay.job.refused(refusal))?;
+    conn.set_status(status);
+    conn.response_headers_mut().append_all(headers);
+    let rest = stream::try_unfold((relay, Some(part)), next_part);
+    let body = rest.into_async_read();
+    conn.set_body(Body::new_streaming(body, None));
+    Ok(())
+}
+
+type Parts = (Relay, Option<Part>);
+
+/// The next bytes for the caller, the first of which were read already.
+async fn next_part((mut relay, first): Parts) -> io::Result<Option<(Vec<u8>, Parts)>> {
+    let part = match first {
+        Some(part) => part,
+        None => relay.next().await?,
+    };
+    match part {
+        Part::Bytes(bytes) => Ok(Some((bytes, (relay, None)))),
+        Part::End => Ok(None),
+    }
+}
+
+/// The head of an answer and its first part.
+struct Begun {
+    status: u16,
+    headers: Headers,
+    part: Part,
+}
+
+/// A part of an answer.
+enum Part {
+    /// Whole events.
+    Bytes(Vec<u8>),
+    /// The end of a whole answer.
+    End,
+}
+
+/// The stream of the worker that runs the request at present.
+struct Open {
+    sent: Sent,
+    answer: Answer,
+    events: Events,
+    /// When the last bytes came, or the request was sent.
+    heard: Time,
+}
+
+/// Why a worker's stream does not go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Break {
+    /// The connection ended or its bytes make no sense.
+    Closed,
+    /// The group lost a member.
+    GroupLost,
+    /// The deadline has passed.
+    Late,
+}
+
+/// Why a worker does not answer a request.
+enum Miss {
+    /// No connection was made; another worker may be tried.
+    Unconnected,
+    /// Another worker may be tried, as far as the retry budget allows.
+    Again(Refusal),
+    /// No other worker may be tried.
+    Final(Refusal),
+}
+
+/// A request for a stream, on its way through one worker or more.
+struct Relay {
+    job: Job,
+    open: Option<Open>,
+    /// The last event that the caller has.
+    delivered: Option<u64>,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if let Some(open) = self.open.take() {
+            self.job.release(&open.sent, End::Cancelled);
+        }
+    }
+}
+
+impl Relay {
+    /// The head of the answer, once its first event is there.
+    async fn begin(&mut self) -> Result<Begun, Refusal> {
+        loop {
+            let mut answer_head = self.connect().await?;
+            let part = self.next().await;
+            match part {
+                Ok(part) => {
+                    let now = self.job.node.now();
+                    let wait = now.since(self.job.arrived);
+                    let service = self.job.service_name().as_str();
+                    self.job.node.metrics.first_byte(service, wait);
+                    answer_head.part = part;
+                    return Ok(answer_head);
+                }
+                Err(_) if self.job.left().is_zero() => return Err(Refusal::late()),
+                Err(_) => return Err(Refusal::failed("endpoint_failed")),
+            }
+        }
+    }
+
+    /// Sends the request to workers until one begins to answer.
+    async fn connect(&mut self) -> Result<Begun, Refusal> {
+        loop {
+            let sent = self.job.choose()?;
+            match self.open(sent).await {
+                Ok(head) => return Ok(head),
+                Err(Miss::Final(refusal)) => return Err(refusal),
+                Err(Miss::Unconnected) if self.job.left().is_zero() => {
+                    return Err(Refusal::late());
+                }
+                Err(Miss::Unconnected) => {}
+                Err(Miss::Again(_)) if self.job.may_retry() => {}
+                Err(Miss::Again(refusal)) => return Err(refusal),
+            }
+        }
+    }
+
+    /// Sends the request to one worker.
+    async fn open(&mut self, sent: Sent) -> Result<Begun, Miss> {
+        let sending = Sending {
+            relay: self,
+            sent: &sent,
+            done: false,
+        };
+        let answered = sending.run().await;
+        match answered {
+            Ok(answer) => self.judge(sent, answer),
+            Err(Error::NotSent) => {
+                self.job.release(&sent, End::Failed);
+                tasks::check_target(&self.job.node, &sent.target);
+                if self.job.not_connected(&sent) {
+                    return Err(Miss::Unconnected);
+                }
+                let refusal = Refusal::not_now("not_connected", RECONNECT_WAIT);
+                Err(Miss::Final(refusal))
+            }
+            Err(error) => {
+                let late = matches!(error, Error::TimedOut) && self.job.left().is_zero();
+                self.job
+                    .release(&sent, if late { End::Cancelled } else { End::Failed });
+                self.job.tried.push(sent.target.instance.clone());
+                tasks::check_target(&self.job.node, &sent.target);
+                Err(if late {
+                    Miss::Final(Refusal::late())
+                } else {
+                    self.failed()
+                })
+            }
+        }
+    }
+
+    /// What becomes of a request that may have run without an answer.
+    fn failed(&mut self) -> Miss {
+        self.job.may_have_run = true;
+        let refusal = Refusal::failed("outcome_unknown");
+        if self.may_resume() {
+            Miss::Again(refusal)
+        } else {
+            Miss::Final(refusal)
+        }
+    }
+
+    fn judge(&mut self, sent: Sent, answer: Answer) -> Result<Begun, Miss> {
+        match judge(&self.job, &answer) {
+            Verdict::NotRun => {
+                self.job.release(&sent, End::Shed);
+                tasks::check_target(&self.job.node, &sent.target);
+                self.job.tried.push(sent.target.instance.clone());
+                let refusal = Refusal::not_now("shed", RECONNECT_WAIT);
+                Err(Miss::Again(refusal))
+            }
+            Verdict::Foreign => {
+                self.job.release(&sent, End::Failed);
+                self.job.tried.push(sent.target.instance.clone());
+                Err(self.failed())
+            }
+            Verdict::Failed if self.may_resume() => {
+                self.job.release(&sent, End::Failed);
+                self.job.tried.push(sent.target.instance.clone());
+                self.job.may_have_run = true;
+                Err(Miss::Again(Refusal::failed("endpoint_failed")))
+            }
+            Verdict::Answered | Verdict::Failed => {
+                self.job.tried.push(sent.target.instance.clone());
+                self.job.may_have_run = true;
+                let head = Begun {
+                    status: answer.status,
+                    headers: cyclamen_relay::end_to_end(&answer.headers),
+                    part: Part::End,
+                };
+                self.open = Some(Open {
+                    heard: self.job.node.now(),
+                    events: Events::default(),
+                    answer,
+                    sent,
+                });
+                Ok(head)
+            }
+        }
+    }
+
+    fn may_resume(&self) -> bool {
+        self.job.route.repeat == Repeat::Resume
+    }
+
+    /// The next whole events, from another worker if one fails.
+    async fn next(&mut self) -> io::Result<Part> {
+        loop {
+            let Some(mut open) = self.open.take() else {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            };
+            match self.read(&mut open).await {
+                Ok(Part::End) => {
+                    self.job.release(&open.sent, End::Whole);
+                    self.job
+                        .end("answered", open.answer.status, Some(&open.sent));
+                    return Ok(Part::End);
+                }
+                Ok(part) => {
+                    self.open = Some(open);
+                    return Ok(part);
+                }
+                Err(cause) => self.resume(open, cause).await?,
+            }
+        }
+    }
+
+    /// Goes on at another worker after the last event that was delivered.
+    async fn resume(&mut self, open: Open, cause: Break) -> io::Result<()> {
+        let end = if cause == Break::Late {
+            End::Cancelled
+        } else {
+            End::Failed
+        };
+        self.job.release(&open.sent, end);
+        let id = &self.job.id;
+        let instance = &open.sent.target.instance;
+        let silent = self.job.node.now().since(open.heard).as_millis();
+        log::info!(
+            "event=stream_broken id={id} instance={instance} cause={cause:?} after={:?} silent_ms={silent}",
+            self.delivered
+        );
+        drop(open);
+        if cause == Break::Late {
+            self.job.end("deadline", 504, None);
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        if !self.may_resume() || !self.job.may_retry() {
+            self.job.end("stream_broken", 502, None);
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        self.job.node.metrics.resumed();
+        match self.connect().await {
+            Ok(_) => Ok(()),
+            Err(refusal) => {
+                self.job.end(refusal.reason, refusal.status, None);
+                Err(io::ErrorKind::ConnectionAborted.into())
+            }
+        }
+    }
+
+    /// The next whole events of one worker.
+    async fn read(&mut self, open: &mut Open) -> Result<Part, Break> {
+        loop {
+            let mut bytes = Vec::new();
+            while let Some(event) = open.events.next_event() {
+                let known = event.id.zip(self.delivered);
+                if known.is_some_and(|(id, delivered)| id <= delivered) {
+                    continue;
+                }
+                self.delivered = event.id.or(self.delivered);
+                bytes.extend_from_slice(&event.bytes);
+            }
+            if !bytes.is_empty() {
+                return Ok(Part::Bytes(bytes));
+            }
+            if !self.fill(open).await? {
+                return if open.events.is_torn() {
+                    Err(Break::Closed)
+                } else {
+                    Ok(Part::End)
+                };
+            }
+        }
+    }
+
+    /// Reads more bytes of a worker; whether there were any.
+    async fn fill(&mut self, open: &mut Open) -> Result<bool, Break> {
+        let mut buffer = [0; READ_BYTES];
+        loop {
+            let left = self.job.left();
+            if left.is_zero() {
+                return Err(Break::Late);
+            }
+            let reading = async { Some(open.answer.body.read(&mut buffer).await) };
+            let tick = async {
+                Timer::after(SILENCE_TICK.min(left)).await;
+                None
+            };
+            match or(reading, tick).await {
+                Some(Ok(count)) => {
+                    open.heard = self.job.node.now();
+                    let pushed = open.events.push(&buffer[..count]);
+                    pushed.map_err(|_| Break::Closed)?;
+                    return Ok(count > 0);
+                }
+                Some(Err(_)) => return Err(Break::Closed),
+                None => self.watch(open)?,
+            }
+        }
+    }
+
+    /// Has the group of a silent worker checked, and gives up one that lost a member.
+    fn watch(&self, open: &Open) -> Result<(), Break> {
+        let node = &self.job.node;
+        let silent = node.now().since(open.heard);
+        if silent < span(node.settings.timing.stall_ms) {
+            return Ok(());
+        }
+        if open.sent.target.model.is_some() && node.state().lost_member(&open.sent.target) {
+            return Err(Break::GroupLost);
+        }
+        tasks::check_target(node, &open.sent.target);
+        Ok(())
+    }
+}
+
+/// A request that is being sent; it is taken off its worker if the caller goes away.
+struct Sending<'a> {
+    relay: &'a Relay,
+    sent: &'a Sent,
+    done: bool,
+}
+
+impl Sending<'_> {
+    async fn run(mut self) -> Result<Answer, Error> {
+        let answer = self.wait().await;
+        self.done = true;
+        answer
+    }
+
+    /// Waits for the head of the answer while the worker's group is whole.
+    async fn wait(&self) -> Result<Answer, Error> {
+        let job = &self.relay.job;
+        let sending = send(job, self.sent, self.relay.delivered);
+        let watching = async {
+            loop {
+                Timer::after(SILENCE_TICK).await;
+                let waited = job.node.now().since(self.sent.at);
+                if waited < span(job.node.settings.timing.stall_ms) {
+                    continue;
+                }
+                if job.node.state().lost_member(&self.sent.target) {
+                    return Err(Error::Closed);
+                }
+                tasks::check_target(&job.node, &self.sent.target);
+            }
+        };
+        or(sending, watching).await
+    }
+}
+
+impl Drop for Sending<'_> {
+    fn drop(&mut self) {
+        if !self.done {
+            self.relay.job.release(self.sent, End::Cancelled);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -0,0 +1,95 @@
+//! Counters and latency histograms.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+
+const NAME: &str = "cyclamenpath";
+/// Upper bounds of the buckets of waiting times, in seconds.
+const WAIT_BUCKETS: [f64; 12] = [
+    0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 10.0,
+];
+
+/// The metrics of a gateway, and the registry that they are read from.
+pub(crate) struct Metrics {
+    registry: prometheus::Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    retries: Counter<u64>,
+    resumes: Counter<u64>,
+    orders: Counter<u64>,
+    store_calls: Counter<u64>,
+    first_byte: Histogram<f64>,
+    duration: Histogram<f64>,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> eyre::Result<Self> {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter();
+        let exporter = exporter.with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter(NAME);
+        let waits = |name: &'static str| {
+            let histogram = meter.f64_histogram(name).with_unit("s");
+            histogram.with_boundaries(WAIT_BUCKETS.to_vec()).build()
+        };
+        Ok(Self {
+            requests: meter.u64_counter("requests").build(),
+            retries: meter.u64_counter("retries").build(),
+            resumes: meter.u64_counter("resumed_streams").build(),
+            orders: meter.u64_counter("orders").build(),
+            store_calls: meter.u64_counter("store_calls").build(),
+            first_byte: waits("first_byte"),
+            duration: waits("request_duration"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that has ended.
+    pub(crate) fn ended(&self, service: &str, outcome: &'static str, took: Duration) {
+        let service = KeyValue::new("service", service.to_string());
+        self.duration
+            .record(took.as_secs_f64(), std::slice::from_ref(&service));
+        self.requests
+            .add(1, &[service, KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(crate) fn first_byte(&self, service: &str, wait: Duration) {
+        let labels = [KeyValue::new("service", service.to_string())];
+        self.first_byte.record(wait.as_secs_f64(), &labels);
+    }
+
+    pub(crate) fn retried(&self) {
+        self.retries.add(1, &[]);
+    }
+
+    pub(crate) fn resumed(&self) {
+        self.resumes.add(1, &[]);
+    }
+
+    pub(crate) fn ordered(&self, kind: &'static str, answer: &'static str) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("answer", answer)];
+        self.orders.add(1, &labels);
+    }
+
+    pub(crate) fn called_store(&self, call: &'static str, ok: bool) {
+        let labels = [KeyValue::new("call", call), KeyValue::new("ok", ok)];
+        self.store_calls.add(1, &labels);
+    }
+
+    /// The metrics in the text format of Prometheus.
+    pub(crate) fn text(&self) -> String {
+        let encoder = prometheus::TextEncoder::new();
+        match encoder.encode_to_string(&self.registry.gather()) {
+            Ok(text) => text,
+            Err(error) => {
+                log::warn!("event=metrics_not_encoded reason=\"{error}\"");
+                String::new()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-gateway/src/node/beliefs.rs
@@ -0,0 +1,318 @@
+//! What rows and news change in this entry's beliefs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cyclamen_cache::{Key, Revision};
+use cyclamen_directory::instance::Status;
+use cyclamen_directory::service::{Cold, Engine, Service};
+use cyclamen_directory::{Entry, Instance};
+use cyclamen_dispatch::Target;
+use cyclamen_replica::{Group, Groups, State as GroupState};
+use cyclamen_types::{Time, group, instance};
+
+use crate::edge::{Platform, Record, Row, Snapshot, Subject, Table};
+use crate::node::State;
+
+/// How long a doubt about a worker holds that nobody has confirmed.
+const DOUBT_MEMORY: Duration = Duration::from_secs(3);
+
+/// The tables that every entry follows, and tells others of.
+pub(crate) const FOLLOWED: [Table; 2] = [Table::Operators, Table::Instances];
+
+impl State {
+    /// Takes rows that changed, from the store or from another entry.
+    pub(crate) fn take_rows(
+        &mut self,
+        now: Time,
+        platform: &dyn Platform,
+        rows: impl IntoIterator<Item = Row>,
+    ) {
+        let mut changed = false;
+        for row in rows {
+            changed |= self.take_row(now, platform, row);
+        }
+        if changed {
+            self.refresh_targets(now);
+        }
+    }
+
+    /// Takes a whole table; rows that are missing from it are gone.
+    pub(crate) fn take_table(
+        &mut self,
+        now: Time,
+        platform: &dyn Platform,
+        table: Table,
+        snapshot: Snapshot,
+    ) {
+        let prefix = format!("{}/", table.as_str());
+        let known: Vec<Key> = self
+            .rows
+            .under(&prefix)
+            .map(|row| row.key.clone())
+            .collect();
+        let kept = |key: &str| snapshot.rows.iter().any(|row| *row.key == *key);
+        let gone: Vec<Row> = known
+            .iter()
+            .filter_map(|key| key.0.strip_prefix(&prefix))
+            .filter(|key| !kept(key))
+            .map(|key| Row {
+                table,
+                key: key.into(),
+                revision: snapshot.as_of,
+                value: None,
+            })
+            .collect();
+        self.take_rows(now, platform, snapshot.rows);
+        self.take_rows(now, platform, gone);
+        self.note_position(table, snapshot.as_of);
+    }
+
+    /// Takes note that a table is known up to a revision.
+    pub(crate) fn note_position(&mut self, table: Table, as_of: Revision) {
+        let position = self.positions.entry(table).or_default();
+        *position = as_of.max(*position);
+    }
+
+    /// The revision up to which every followed table is known.
+    pub(crate) fn as_of(&self) -> Revision {
+        let known = FOLLOWED.iter().map(|table| self.positions.get(table));
+        known
+            .map(|position| position.copied().unwrap_or_default())
+            .min()
+            .unwrap_or_default()
+    }
+
+    /// Takes one row unless a newer one is known; whether it changes anything.
+    fn take_row(&mut self, now: Time, platform: &dyn Platform, row: Row) -> bool {
+        let key = Key::new(&format!("{}/", row.table.as_str()), &row.key);
+        let known = self.rows.row(&key).map(|known| known.revision);
+        if known.is_some_and(|known| known >= row.revision) {
+            return false;
+        }
+        self.rows.wrote(cyclamen_cache::Row {
+            key,
+            revision: row.revision,
+            value: row.value.clone(),
+        });
+        match platform.subject(row.table, &row.key) {
+            Subject::Other => false,
+            Subject::ZoneOut(zone) if row.value.is_none() => {
+                log::info!("event=zone_in zone={zone} revision={}", row.revision);
+                self.zones_out.remove(&zone)
+            }
+            Subject::Instance(id) if row.value.is_none() => {
+                log::info!(
+                    "event=instance_unlisted instance={id} revision={}",
+                    row.revision
+                );
+                self.register.remove(now, &id);
+                true
+            }
+            subject => match platform.decode(&row) {
+                Ok(record) => self.take_record(now, row.revision, record),
+                Err(fault) => {
+                    log::warn!(
+                        "event=row_not_understood table={} key={} revision={} reason=\"{fault}\"",
+                        row.table.as_str(),
+                        row.key,
+                        row.revision
+                    );
+                    if let Subject::Instance(id) = subject {
+                        self.register.remove(now, &id);
+                    }
+                    true
+                }
+            },
+        }
+    }
+
+    fn take_record(&mut self, now: Time, revision: Revision, record: Record) -> bool {
+        match record {
+            Record::Catalog(catalog) if catalog.version() > self.catalog.version() => {
+                log::info!(
+                    "event=configuration version={} revision={revision}",
+                    catalog.version()
+                );
+                self.catalog = Arc::new(catalog);
+                true
+            }
+            Record::Catalog(_) | Record::Other => false,
+            Record::ZoneOut(zone) => {
+                log::info!("event=zone_out zone={zone} revision={revision}");
+                self.zones_out.insert(zone)
+            }
+            Record::Instance(instance) => {
+                self.log_instance(&instance, revision);
+                self.register.list(now, instance)
+            }
+        }
+    }
+
+    /// Logs what is new about an instance.
+    fn log_instance(&self, instance: &Instance, revision: Revision) {
+        let before = self.register.get(&instance.id);
+        let before = before.map(|entry| entry.instance.clone());
+        let same_place = before.as_ref().is_some_and(|b| {
+            b.membership == instance.membership
+                && b.status == instance.status
+                && b.incarnation == instance.incarnation
+        });
+        if same_place {
+            return;
+        }
+        let (group, phase) = match &instance.membership {
+            Some(m) => (m.group.as_str(), format!("{:?}", m.phase).to_lowercase()),
+            None => ("none", "none".to_string()),
+        };
+        log::info!(
+            "event=instance_listed instance={} status={:?} group={group} phase={phase} revision={revision}",
+            instance.id,
+            instance.status,
+        );
+    }
+
+    /// Takes note that a worker does not answer; whether that is news.
+    pub(crate) fn doubt(
+        &mut self,
+        now: Time,
+        id: &instance::Id,
+        incarnation: instance::Incarnation,
+    ) -> bool {
+        let news = self.doubts.insert((id.clone(), incarnation), now).is_none();
+        if news {
+            log::info!("event=instance_doubted instance={id} incarnation={incarnation}");
+            self.refresh_targets(now);
+        }
+        news
+    }
+
+    /// Takes note that a worker answers after all.
+    pub(crate) fn trust(
+        &mut self,
+        now: Time,
+        id: &instance::Id,
+        incarnation: instance::Incarnation,
+    ) {
+        if self.doubts.remove(&(id.clone(), incarnation)).is_some() {
+            log::info!("event=instance_trusted instance={id} incarnation={incarnation}");
+            self.refresh_targets(now);
+        }
+    }
+
+    /// Forgets doubts that nobody has confirmed, and instances that did not come back.
+    pub(crate) fn expire_beliefs(&mut self, now: Time) {
+        let before = self.doubts.len();
+        self.doubts
+            .retain(|_, since| now.since(*since) < DOUBT_MEMORY);
+        let gone = self.register.expire(now);
+        if gone || self.doubts.len() < before {
+            self.refresh_targets(now);
+        }
+    }
+
+    /// Whether a worker does not answer, as far as is known.
+    pub(crate) fn is_doubted(&self, instance: &Instance) -> bool {
+        let start = (instance.id.clone(), instance.incarnation);
+        self.doubts.contains_key(&start)
+    }
+
+    /// Whether a target, or a member of the group whose head it is, does not answer any more.
+    ///
+    /// A target that has another membership by now has lost its group as well.
+    pub(crate) fn lost_member(&self, target: &Target) -> bool {
+        let Some(group) = self.group_of_head(&target.instance) else {
+            return target.model.is_some();
+        };
+        let same_start = |m: &Arc<Instance>| m.incarnation == target.incarnation;
+        let same = group.fence == target.fence && group.head().is_some_and(same_start);
+        !same || group.members.values().any(|m| self.is_doubted(m))
+    }
+
+    /// Works out which workers take requests.
+    pub(crate) fn refresh_targets(&mut self, now: Time) {
+        let mut targets = Vec::new();
+        for service in self.catalog.services() {
+            match &service.engine {
+                Some(engine) => targets.extend(self.heads(now, service, engine)),
+                None => targets.extend(self.plain_workers(now, service)),
+            }
+        }
+        self.dispatcher.refresh(targets);
+    }
+
+    /// The replica groups of a service, as its listed workers show them.
+    pub(crate) fn groups(&self, service: &Service) -> Groups {
+        let listed = self.register.entries();
+        let instances = listed
+            .map(|entry| &entry.instance)
+            .filter(|i| i.service == service.name);
+        Groups::of(instances)
+    }
+
+    /// The group whose head a worker is.
+    pub(crate) fn group_of_head(&self, id: &instance::Id) -> Option<Group> {
+        let entry = self.register.get(id)?;
+        let membership = entry.instance.membership.as_ref()?;
+        let service = self.catalog.service(&entry.instance.service)?;
+        let groups = self.groups(service);
+        groups.get(&membership.group, membership.fence).cloned()
+    }
+
+    fn heads(&self, now: Time, service: &Service, engine: &Engine) -> Vec<Target> {
+        let groups = self.groups(service);
+        let serving = groups.iter().filter(|group| {
+            let state = group.state(engine, |m| self.is_doubted(m));
+            let leaves = |m: &Arc<Instance>| m.status == Status::Leaving;
+            state == GroupState::Serving && !group.members.values().any(leaves)
+        });
+        serving
+            .filter_map(|group| {
+                let head = self.register.get(&group.head()?.id)?;
+                let model = group.model.clone();
+                let target = self.target(now, service, head, group.fence)?;
+                Some(Target {
+                    model,
+                    slots: engine.slots,
+                    ..target
+                })
+            })
+            .collect()
+    }
+
+    fn plain_workers(&self, now: Time, service: &Service) -> Vec<Target> {
+        let workers = self.register.entries();
+        let mine = workers.filter(|entry| entry.instance.service == service.name);
+        let answering = mine.filter(|entry| !self.is_doubted(&entry.instance));
+        answering
+            .filter_map(|entry| self.target(now, service, entry, group::Fence::default()))
+            .collect()
+    }
+
+    fn target(
+        &self,
+        now: Time,
+        service: &Service,
+        entry: &Entry,
+        fence: group::Fence,
+    ) -> Option<Target> {
+        let instance = &entry.instance;
+        let out = self.zones_out.contains(&instance.zone);
+        if out || !entry.is_ready() {
+            return None;
+        }
+        let left = entry.cold(now);
+        let cold = service.cold.filter(|_| !left.is_zero());
+        Some(Target {
+            instance: instance.id.clone(),
+            incarnation: instance.incarnation,
+            fence,
+            service: service.name.clone(),
+            model: None,
+            address: instance.address,
+            zone: instance.zone.clone(),
+            slots: instance.slots,
+            cold: cold.map(|Cold { per_second, .. }| (now + left, per_second)),
+        })
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-gateway/src/node/peers.rs
@@ -0,0 +1,21 @@
+//! Other entries as this one knows them.
+
+use std::net::SocketAddr;
+
+use cyclamen_cache::Revision;
+use cyclamen_types::{Time, entry};
+
+/// Another entry.
+#[derive(Debug, Clone)]
+pub(crate) struct Peer {
+    /// Its start, as its lease row or its news say.
+    pub(crate) incarnation: entry::Incarnation,
+    /// Where it listens for other entries.
+    pub(crate) address: SocketAddr,
+    /// When it was last heard of.
+    pub(crate) heard: Option<Time>,
+    /// Up to which revision it knows the followed tables.
+    pub(crate) as_of: Revision,
+    /// Whether a call to it is under way.
+    pub(crate) calling: bool,
+}
--- /dev/null
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -0,0 +1,107 @@
+//! The state of the node.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use cyclamen_cache::{Cache, Revision};
+use cyclamen_directory::{Catalog, Register};
+use cyclamen_dispatch::{Dispatcher, Retries};
+use cyclamen_domain::Owner;
+use cyclamen_lease::Holder;
+use cyclamen_route::{Suspects, suspect};
+use cyclamen_types::{Time, entry, instance, pool, zone};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::edge::Table;
+use crate::node::duties::Ownership;
+use crate::node::peers::Peer;
+use crate::settings::{self, Settings, span};
+
+/// Everything that this entry knows.
+pub(crate) struct State {
+    pub(crate) me: Owner,
+    pub(crate) zone: zone::Name,
+    pub(crate) catalog: Arc<Catalog>,
+    pub(crate) zones_out: BTreeSet<zone::Name>,
+    pub(crate) register: Register,
+    pub(crate) dispatcher: Dispatcher,
+    /// Workers that do not answer, by their start, and since when.
+    pub(crate) doubts: BTreeMap<(instance::Id, instance::Incarnation), Time>,
+    /// Rows of the tables that are followed, for other entries.
+    pub(crate) rows: Cache,
+    /// Up to which revision each followed table is known.
+    pub(crate) positions: BTreeMap<Table, Revision>,
+    pub(crate) peers: BTreeMap<entry::Name, Peer>,
+    pub(crate) lease: Holder,
+    pub(crate) lease_revision: Option<Revision>,
+    pub(crate) ownership: Ownership,
+    pub(crate) suspects: Suspects,
+    pub(crate) rng: SmallRng,
+    pub(crate) draining: bool,
+    pub(crate) in_progress: u64,
+    retry_options: settings::Retries,
+    retries: BTreeMap<pool::Service, Retries>,
+    /// When each group was last checked because its streams paused.
+    pub(crate) checked: BTreeMap<instance::Id, Time>,
+}
+
+impl State {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let timing = settings.timing;
+        let lease = cyclamen_lease::Options {
+            lifetime: span(timing.lease_ms),
+            margin: span(timing.lease_ms / 6),
+            renew_every: span(timing.renew_every_ms),
+        };
+        let mut rng = SmallRng::from_os_rng();
+        Self {
+            me: Owner {
+                entry: settings.name.clone(),
+                incarnation: entry::Incarnation(rng.random()),
+            },
+            zone: settings.zone.clone(),
+            catalog: Arc::default(),
+            zones_out: BTreeSet::new(),
+            register: Register::default(),
+            dispatcher: Dispatcher::new(cyclamen_dispatch::Options::default()),
+            doubts: BTreeMap::new(),
+            rows: Cache::default(),
+            positions: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            lease: Holder::new(lease),
+            lease_revision: None,
+            ownership: Ownership::new(lease),
+            suspects: Suspects::new(suspect::Options::default()),
+            rng,
+            draining: false,
+            in_progress: 0,
+            retry_options: settings.retries,
+            retries: BTreeMap::new(),
+            checked: BTreeMap::new(),
+        }
+    }
+
+    /// Whether this entry has what it needs to serve.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.is_configured() && !self.draining
+    }
+
+    /// Whether any configuration is known.
+    pub(crate) fn is_configured(&self) -> bool {
+        self.catalog.version().0 > 0
+    }
+
+    /// The retry budget of a service.
+    pub(crate) fn retries(&mut self, service: &pool::Service) -> &mut Retries {
+        let options = self.retry_options;
+        self.retries.entry(service.clone()).or_insert_with(|| {
+            Retries::new(span(options.window_ms), options.ratio, options.reserve)
+        })
+    }
+
+    /// The entries that share what is divided, this one included.
+    pub(crate) fn entries(&self) -> usize {
+        self.peers.len() + 1
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -0,0 +1,61 @@
+//! Tasks that keep the node's state up to date.
+
+mod check;
+mod follow;
+mod lease;
+mod news;
+mod own;
+mod plan;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::Timer;
+
+use crate::node::Node;
+use crate::settings::span;
+
+pub(crate) use check::check_target;
+pub(crate) use lease::resign;
+pub(crate) use news::{answer as answer_news, tell_all};
+
+/// The time between two looks at whether a renewal of the lease is due.
+const LEASE_TICK: Duration = Duration::from_millis(100);
+/// The time between two looks at domains without an owner.
+const OWN_TICK: Duration = Duration::from_millis(150);
+/// The time between two looks at beliefs that may be too old.
+const BELIEF_TICK: Duration = Duration::from_millis(250);
+
+/// Runs one step of a task again and again.
+macro_rules! every {
+    ($node:expr, $pause:expr, $step:path) => {{
+        let (node, pause): (Arc<Node>, Duration) = ($node.clone(), $pause);
+        smol::spawn(async move {
+            loop {
+                $step(&node).await;
+                Timer::after(pause).await;
+            }
+        })
+    }};
+}
+
+/// Starts every task; dropping the result stops them.
+pub(crate) fn start(node: &Arc<Node>) -> Vec<smol::Task<()>> {
+    let timing = node.settings.timing;
+    let mut tasks = follow::start(node);
+    tasks.extend([
+        every!(node, LEASE_TICK, lease::step),
+        every!(node, OWN_TICK, own::step),
+        every!(node, BELIEF_TICK, expire),
+        every!(node, span(timing.news_every_ms), news::step),
+        smol::spawn(plan::run(node.clone())),
+    ]);
+    tasks
+}
+
+/// Forgets what is too old to be believed, and asks doubted workers again.
+async fn expire(node: &Arc<Node>) {
+    let now = node.now();
+    node.state().expire_beliefs(now);
+    check::recheck_doubted(node);
+}
--- /dev/null
+++ b/crates/cyclamen-gateway/src/tasks/follow.rs
@@ -0,0 +1,102 @@
+//! Follows the tables that operators and workers write.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::Timer;
+
+use crate::edge::{Error, Followed, Table};
+use crate::node::{FOLLOWED, Node};
+use crate::settings::span;
+
+/// The pause after a failed call; it doubles up to the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// The longest pause between two tries.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+
+/// Starts a task for each table.
+pub(super) fn start(node: &Arc<Node>) -> Vec<smol::Task<()>> {
+    let follow = |table| smol::spawn(run(node.clone(), table));
+    FOLLOWED.map(follow).into()
+}
+
+async fn run(node: Arc<Node>, table: Table) {
+    let mut pause = FIRST_PAUSE;
+    let mut known = false;
+    let mut reached = true;
+    loop {
+        let step = if known {
+            follow(&node, table).await
+        } else {
+            read(&node, table).await.map(|()| true)
+        };
+        match step {
+            Ok(goes_on) => {
+                if !reached {
+                    log::info!("event=store_regained table={}", table.as_str());
+                }
+                reached = true;
+                known = goes_on;
+                pause = FIRST_PAUSE;
+            }
+            Err(error) => {
+                if reached {
+                    log::warn!(
+                        "event=store_lost table={} reason=\"{error}\"",
+                        table.as_str()
+                    );
+                }
+                reached = false;
+                node.state().register.outage(node.now());
+                Timer::after(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+async fn read(node: &Arc<Node>, table: Table) -> Result<(), Error> {
+    let answer = node.platform.read(table).await;
+    node.metrics.called_store("read", answer.is_ok());
+    let snapshot = answer?;
+    log::info!(
+        "event=table_read table={} rows={} revision={}",
+        table.as_str(),
+        snapshot.rows.len(),
+        snapshot.as_of
+    );
+    let now = node.now();
+    node.state()
+        .take_table(now, node.platform.as_ref(), table, snapshot);
+    node.wake_planner();
+    Ok(())
+}
+
+/// Waits for changes; whether the table can be followed further.
+async fn follow(node: &Arc<Node>, table: Table) -> Result<bool, Error> {
+    let after = node.state().positions.get(&table).copied();
+    let wait = span(node.settings.timing.follow_wait_ms);
+    let answer = node
+        .platform
+        .follow(table, after.unwrap_or_default(), wait)
+        .await;
+    node.metrics.called_store("follow", answer.is_ok());
+    match answer? {
+        Followed::Changed(snapshot) => {
+            let now = node.now();
+            let some = !snapshot.rows.is_empty();
+            let mut state = node.state();
+            state.take_rows(now, node.platform.as_ref(), snapshot.rows);
+            state.note_position(table, snapshot.as_of);
+            drop(state);
+            if some {
+                node.wake_planner();
+            }
+            Ok(true)
+        }
+        Followed::Forgotten => {
+            log::warn!("event=history_lost table={}", table.as_str());
+            Ok(false)
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-gateway/src/tasks/news.rs
@@ -0,0 +1,158 @@
+//! Exchanges news with other entries.
+
+use std::sync::Arc;
+
+use cyclamen_cache::{Delta, Revision};
+use cyclamen_peer::{Doubt, News};
+use cyclamen_types::{Time, entry};
+
+use crate::edge::{Row, Table};
+use crate::node::{FOLLOWED, Node, State};
+use crate::settings::span;
+
+/// Rows that one piece of news carries at most.
+const ROW_LIMIT: usize = 256;
+/// Strikes that one piece of news carries at most.
+const STRIKE_LIMIT: usize = 64;
+
+/// Exchanges news with every other entry that is not being called.
+pub(super) async fn step(node: &Arc<Node>) {
+    tell_all(node);
+}
+
+/// Starts an exchange of news with every other entry that is not being called.
+pub(crate) fn tell_all(node: &Arc<Node>) {
+    let names: Vec<entry::Name> = {
+        let mut state = node.state();
+        let idle = state.peers.iter_mut().filter(|(_, peer)| !peer.calling);
+        idle.map(|(name, peer)| {
+            peer.calling = true;
+            name.clone()
+        })
+        .collect()
+    };
+    for name in names {
+        smol::spawn(exchange(node.clone(), name)).detach();
+    }
+}
+
+async fn exchange(node: Arc<Node>, name: entry::Name) {
+    let (address, news) = {
+        let state = node.state();
+        let Some(peer) = state.peers.get(&name) else {
+            return;
+        };
+        (peer.address, news(&state, Some(peer.as_of)))
+    };
+    let answer = match node.peers() {
+        Some(peers) => peers.gossip(address, news).await,
+        None => Err(cyclamen_peer::Error::Unreachable),
+    };
+    let now = node.now();
+    match answer {
+        Ok(news) => take(&node, now, news),
+        Err(error) => {
+            let silence = span(node.settings.timing.peer_silence_ms);
+            let state = node.state();
+            let peer = state.peers.get(&name);
+            let since = peer.and_then(|p| p.heard).map(|at| now.since(at));
+            if since.is_some_and(|since| since < silence) {
+                log::info!("event=peer_silent peer={name} reason=\"{error}\"");
+            }
+        }
+    }
+    if let Some(peer) = node.state().peers.get_mut(&name) {
+        peer.calling = false;
+    }
+}
+
+/// Takes the news of another entry and gives own ones.
+pub(crate) fn answer(node: &Arc<Node>, received: News) -> News {
+    let now = node.now();
+    let as_of = received.as_of;
+    take(node, now, received);
+    news(&node.state(), Some(as_of))
+}
+
+fn take(node: &Arc<Node>, now: Time, news: News) {
+    let mut state = node.state();
+    if news.sender.entry == state.me.entry {
+        return;
+    }
+    if let Some(peer) = state.peers.get_mut(&news.sender.entry) {
+        peer.heard = Some(now);
+        peer.as_of = news.as_of;
+        peer.incarnation = news.sender.incarnation;
+    } else {
+        // The entry is new; its address is in its row.
+        state.ownership.read = None;
+    }
+    let loads = news.loads.into_iter().map(|load| cyclamen_dispatch::Load {
+        instance: load.instance,
+        fence: load.fence,
+        running: load.running,
+    });
+    state
+        .dispatcher
+        .note_peer(now, news.sender.entry.as_str(), loads);
+    for strike in news.strikes {
+        state.suspects.strike(now, strike);
+    }
+    let rows: Vec<Row> = news.delta.rows.into_iter().filter_map(row).collect();
+    let some_rows = !rows.is_empty();
+    state.take_rows(now, node.platform.as_ref(), rows);
+    let mut wake = some_rows;
+    for doubt in news.doubts {
+        let listed = state.register.get(&doubt.instance);
+        let listed = listed.is_some_and(|e| e.instance.incarnation == doubt.incarnation);
+        if listed && state.doubt(now, &doubt.instance, doubt.incarnation) {
+            wake = true;
+        }
+    }
+    drop(state);
+    if wake {
+        node.wake_planner();
+    }
+}
+
+/// This entry's news, with the rows changed since a revision.
+fn news(state: &State, since: Option<Revision>) -> News {
+    let as_of = state.as_of();
+    let delta = since
+        .filter(|since| *since < as_of)
+        .map(|since| state.rows.changes_since(since));
+    let mut delta = delta.unwrap_or_default();
+    delta.rows.truncate(ROW_LIMIT);
+    let doubts = state.doubts.keys().map(|(instance, incarnation)| Doubt {
+        instance: instance.clone(),
+        incarnation: *incarnation,
+    });
+    let loads = state.dispatcher.loads().into_iter();
+    News {
+        sender: state.me.clone(),
+        as_of,
+        summaries: Vec::new(),
+        strikes: state.suspects.strikes().take(STRIKE_LIMIT).collect(),
+        delta: Delta { as_of, ..delta },
+        loads: loads
+            .map(|load| cyclamen_peer::Load {
+                instance: load.instance,
+                fence: load.fence,
+                running: load.running,
+            })
+            .collect(),
+        doubts: doubts.collect(),
+    }
+}
+
+/// A row of a followed table from another entry's news.
+fn row(row: cyclamen_cache::Row) -> Option<Row> {
+    let (table, key) = row.key.0.split_once('/')?;
+    let table = FOLLOWED.into_iter().find(|t: &Table| t.as_str() == table)?;
+    Some(Row {
+        table,
+        key: key.into(),
+        revision: row.revision,
+        value: row.value,
+    })
+}
--- /dev/null
+++ b/crates/cyclamen-gateway/src/tasks/own.rs
@@ -0,0 +1,215 @@
+//! Takes over fabric domains that no live entry looks after.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cyclamen_cache::Revision;
+use cyclamen_domain::Owner;
+use cyclamen_replica::Planner;
+use cyclamen_route::rendezvous;
+use cyclamen_types::{Time, domain, entry, group};
+use serde::{Deserialize, Serialize};
+
+use crate::edge::{Commit, Snapshot, Table, Transaction};
+use crate::node::{Holding, Node, State};
+use crate::settings::span;
+use crate::tasks::lease;
+
+/// The least time between two reads of the rows of entries and domains.
+const READ_EVERY: Duration = Duration::from_millis(500);
+/// Fencing numbers that one owner may use for each revision of the store.
+const FENCES: u64 = 1_000;
+
+/// The row of a fabric domain.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Row {
+    owner: Owner,
+}
+
+/// Takes over the domains for which this entry is responsible and which nobody looks after.
+pub(super) async fn step(node: &Arc<Node>) {
+    let Some(wanted) = due(node) else {
+        return;
+    };
+    let Ok(entries) = lease::read_entries(node).await else {
+        return;
+    };
+    if wanted.is_empty() {
+        return;
+    }
+    let answer = node.platform.read(Table::Domains).await;
+    node.metrics.called_store("read", answer.is_ok());
+    let Ok(domains) = answer else {
+        return;
+    };
+    let now = node.now();
+    note_holdings(node, &domains);
+    observe(node, now, &entries);
+    for name in wanted {
+        let transaction = take_over(&node.state(), now, &entries, &name);
+        if let Some(transaction) = transaction {
+            write(node, &name, transaction).await;
+        }
+    }
+}
+
+/// The domains to take over, if the rows of entries and domains are to be read now.
+fn due(node: &Node) -> Option<Vec<domain::Name>> {
+    let now = node.now();
+    let mut state = node.state();
+    if state.draining || !state.lease.holds(now) {
+        return None;
+    }
+    let silence = span(node.settings.timing.peer_silence_ms);
+    let wanted = wanted(&state, now, silence);
+    let last = state.ownership.read;
+    let recent = last.is_some_and(|at| now.since(at) < READ_EVERY);
+    if recent || (wanted.is_empty() && last.is_some()) {
+        return None;
+    }
+    state.ownership.read = Some(now);
+    Some(wanted)
+}
+
+/// The domains that this entry should take over.
+fn wanted(state: &State, now: Time, silence: Duration) -> Vec<domain::Name> {
+    let names: BTreeSet<domain::Name> = state
+        .register
+        .entries()
+        .filter(|entry| {
+            let service = state.catalog.service(&entry.instance.service);
+            service.is_some_and(|s| s.engine.is_some())
+        })
+        .filter_map(|entry| entry.instance.domain.clone())
+        .collect();
+    let alive = |heard: Option<Time>| heard.is_some_and(|at| now.since(at) < silence);
+    let peers = state.peers.iter().filter(|(_, peer)| alive(peer.heard));
+    let mut candidates: Vec<entry::Name> = peers.map(|(name, _)| name.clone()).collect();
+    candidates.push(state.me.entry.clone());
+    let responsible = rendezvous::balanced(names, candidates.iter().cloned());
+    responsible
+        .into_iter()
+        .filter(|(_, entry)| *entry == state.me.entry)
+        .map(|(name, _)| name)
+        .filter(|name| !state.ownership.planners.contains_key(name))
+        .filter(|name| {
+            let holding = state.ownership.holdings.get(name);
+            !holding.is_some_and(|h| h.owner != state.me && candidates.contains(&h.owner.entry))
+                || holding.is_some_and(|h| is_former_start(state, &h.owner))
+        })
+        .collect()
+}
+
+/// Whether an owner is an earlier start of an entry that is known to have started again.
+fn is_former_start(state: &State, owner: &Owner) -> bool {
+    if owner.entry == state.me.entry {
+        return owner.incarnation != state.me.incarnation;
+    }
+    let peer = state.peers.get(&owner.entry);
+    peer.is_some_and(|peer| peer.incarnation != owner.incarnation)
+}
+
+fn note_holdings(node: &Node, domains: &Snapshot) {
+    let mut state = node.state();
+    state.ownership.holdings.clear();
+    for row in &domains.rows {
+        let name = row.key.parse::<domain::Name>();
+        let value = row.value.as_deref().unwrap_or_default();
+        match (name, serde_json::from_str::<Row>(value)) {
+            (Ok(name), Ok(Row { owner })) => {
+                let revision = row.revision;
+                let holding = Holding { owner, revision };
+                state.ownership.holdings.insert(name, holding);
+            }
+            _ => log::warn!("event=domain_row_not_understood key={}", row.key),
+        }
+    }
+}
+
+fn observe(node: &Node, now: Time, entries: &Snapshot) {
+    let mut state = node.state();
+    for row in &entries.rows {
+        let entry = row.key.parse::<entry::Name>();
+        let content = lease::parse(row.value.as_deref());
+        if let (Ok(entry), Some(content)) = (entry, content) {
+            let owner = Owner {
+                entry,
+                incarnation: content.incarnation,
+            };
+            let revision = row.revision.0;
+            state.ownership.observer.observe(now, &owner, revision);
+        }
+    }
+}
+
+/// The transaction that makes this entry the owner of a domain, if nobody holds it.
+///
+/// The lease row of a former owner is deleted on the condition that it was not
+/// renewed, after which that owner can never renew it again.
+fn take_over(
+    state: &State,
+    now: Time,
+    entries: &Snapshot,
+    name: &domain::Name,
+) -> Option<Transaction> {
+    let key: Arc<str> = name.as_str().into();
+    let holding = state.ownership.holdings.get(name);
+    let revision = holding.map(|h| h.revision).unwrap_or_default();
+    let row = Row {
+        owner: state.me.clone(),
+    };
+    let value = serde_json::to_string(&row).ok()?;
+    let mut transaction = Transaction {
+        conditions: vec![(Table::Domains, key.clone(), revision)],
+        puts: vec![(Table::Domains, key, value.into())],
+        deletes: Vec::new(),
+    };
+    let own_lease: Arc<str> = state.me.entry.as_str().into();
+    let lease_revision = state.lease_revision.unwrap_or_default();
+    transaction
+        .conditions
+        .push((Table::Entries, own_lease, lease_revision));
+    let Some(former) = holding.map(|h| &h.owner) else {
+        return Some(transaction);
+    };
+    if former.entry == state.me.entry {
+        return Some(transaction);
+    }
+    let lease_key: Arc<str> = former.entry.as_str().into();
+    let row = entries.rows.iter().find(|row| row.key == lease_key);
+    let current = row.and_then(|row| lease::parse(row.value.as_deref()));
+    if current.is_some_and(|c| c.incarnation == former.incarnation) {
+        let expired = state.ownership.observer.expired(now, former)?;
+        let condition = (Table::Entries, lease_key.clone(), Revision(expired));
+        transaction.conditions.push(condition);
+        transaction.deletes.push((Table::Entries, lease_key));
+    } else {
+        let revision = row.map(|row| row.revision).unwrap_or_default();
+        transaction
+            .conditions
+            .push((Table::Entries, lease_key, revision));
+    }
+    Some(transaction)
+}
+
+async fn write(node: &Arc<Node>, name: &domain::Name, transaction: Transaction) {
+    let answer = node.platform.commit(transaction).await;
+    node.metrics.called_store("commit", answer.is_ok());
+    match answer {
+        Ok(Commit::Done(revision)) => {
+            log::info!("event=domain_taken domain={name} revision={revision}");
+            let mut state = node.state();
+            let owner = state.me.clone();
+            let holding = Holding { owner, revision };
+            state.ownership.holdings.insert(name.clone(), holding);
+            let fence = group::Fence(revision.0.saturating_mul(FENCES));
+            let planner = Planner::new(name.clone(), fence, Default::default());
+            state.ownership.planners.insert(name.clone(), planner);
+            drop(state);
+            node.wake_planner();
+        }
+        Ok(Commit::Conflict) => log::info!("event=domain_conflict domain={name}"),
+        Err(error) => log::warn!("event=domain_not_taken domain={name} reason=\"{error}\""),
+    }
+}
--- a/crates/cyclamen-http/src/caller.rs
+++ b/crates/cyclamen-http/src/caller.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 use smol::Timer;
 use smol::future::or;
-use trillium_client::{Client, Conn, EventStream, SseErrorKind};
+use trillium_client::{Client, Conn, EventStream, ResponseBody, SseErrorKind};
 use trillium_http::{Headers, Method};
 
 use crate::dialer::Dialer;
@@ -81,6 +81,19 @@
     }
 }
 
+/// An answer whose body is still to be read, over a connection of its own.
+///
+/// Dropping it closes the connection, which tells the peer to stop.
+#[derive(Debug)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers.
+    pub headers: Headers,
+    /// The body; a read fails if the connection ends before the body is whole.
+    pub body: ResponseBody<'static>,
+}
+
 /// Makes HTTP calls.
 #[derive(Debug, Clone)]
 pub struct Caller {
@@ -139,6 +152,25 @@
         success(self.call(request).await?)?.json()
     }
 
+    /// Makes a call over a connection of its own, and gives its answer once the head is there.
+    pub async fn begin(&self, request: Request<'_>) -> Result<Answer, Error> {
+        let timeout = request.timeout;
+        let mut conn = build(&self.single, request);
+        within(timeout, async {
+            (&mut conn).await?;
+            Ok(())
+        })
+        .await?;
+        let status = conn.status().ok_or(Error::Malformed)?;
+        let headers = conn.response_headers().clone();
+        let body = conn.take_response_body().ok_or(Error::Closed)?;
+        Ok(Answer {
+            status: status as u16,
+            headers,
+            body: body.with_max_len(u64::MAX),
+        })
+    }
+
     /// Opens a stream of events over a connection of its own.
     ///
     /// An answer that is not a stream of events is read whole instead.
--- a/crates/cyclamen-http/src/lib.rs
+++ b/crates/cyclamen-http/src/lib.rs
@@ -7,5 +7,5 @@
 mod dialer;
 mod error;
 
-pub use caller::{Caller, Options, Reply, Request};
+pub use caller::{Answer, Caller, Options, Reply, Request};
 pub use error::Error;
--- a/crates/cyclamen-peer/schema/peer.capnp
+++ b/crates/cyclamen-peer/schema/peer.capnp
@@ -34,6 +34,17 @@
   rows @2 :List(Row);
 }
 
+struct Load {
+  instance @0 :Text;
+  fence @1 :UInt64;
+  running @2 :UInt32;
+}
+
+struct Doubt {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+}
+
 struct News {
   sender @0 :Owner;
   asOf @1 :UInt64;
@@ -41,6 +52,10 @@
   strikes @3 :List(Strike);
   delta @4 :Delta;
   # Rows that the receiver lacks, as far as the sender knows.
+  loads @5 :List(Load);
+  # Requests of the sender in progress on each worker.
+  doubts @6 :List(Doubt);
+  # Workers that do not answer the sender.
 }
 
 struct Ask {
--- a/crates/cyclamen-peer/src/decode.rs
+++ b/crates/cyclamen-peer/src/decode.rs
@@ -11,9 +11,9 @@
 use cyclamen_route::board::Summary;
 use cyclamen_route::suspect::{Crash, Strike};
 use cyclamen_tables::routes::Priority;
-use cyclamen_types::{entry, group};
+use cyclamen_types::{entry, group, instance};
 
-use crate::message::{Admission, Answer, Ask, News, Notice, Release};
+use crate::message::{Admission, Answer, Ask, Doubt, Load, News, Notice, Release};
 use crate::peer_capnp as wire;
 
 fn text<T: FromStr<Err: Display>>(reader: capnp::text::Reader<'_>) -> Result<T, Error> {
@@ -69,6 +69,21 @@
     })
 }
 
+fn load(from: wire::load::Reader<'_>) -> Result<Load, Error> {
+    Ok(Load {
+        instance: text(from.get_instance()?)?,
+        fence: group::Fence(from.get_fence()),
+        running: from.get_running(),
+    })
+}
+
+fn doubt(from: wire::doubt::Reader<'_>) -> Result<Doubt, Error> {
+    Ok(Doubt {
+        instance: text(from.get_instance()?)?,
+        incarnation: instance::Incarnation(from.get_incarnation()),
+    })
+}
+
 pub(crate) fn news(from: wire::news::Reader<'_>) -> Result<News, Error> {
     Ok(News {
         sender: owner(from.get_sender()?)?,
@@ -84,6 +99,16 @@
             .map(strike)
             .collect::<Result<_, _>>()?,
         delta: delta(from.get_delta()?)?,
+        loads: from
+            .get_loads()?
+            .iter()
+            .map(load)
+            .collect::<Result<_, _>>()?,
+        doubts: from
+            .get_doubts()?
+            .iter()
+            .map(doubt)
+            .collect::<Result<_, _>>()?,
     })
 }
 
--- a/crates/cyclamen-peer/src/encode.rs
+++ b/crates/cyclamen-peer/src/encode.rs
@@ -8,7 +8,7 @@
 use cyclamen_route::suspect::Strike;
 use cyclamen_tables::routes::Priority;
 
-use crate::message::{Admission, Answer, Ask, News, Notice, Release};
+use crate::message::{Admission, Answer, Ask, Doubt, Load, News, Notice, Release};
 use crate::peer_capnp as wire;
 
 fn millis(span: Duration) -> u64 {
@@ -55,6 +55,17 @@
     }
 }
 
+fn load(mut to: wire::load::Builder<'_>, load: &Load) {
+    to.set_instance(load.instance.as_str());
+    to.set_fence(load.fence.0);
+    to.set_running(load.running);
+}
+
+fn doubt(mut to: wire::doubt::Builder<'_>, doubt: &Doubt) {
+    to.set_instance(doubt.instance.as_str());
+    to.set_incarnation(doubt.incarnation.0);
+}
+
 pub(crate) fn news(mut to: wire::news::Builder<'_>, news: &News) {
     owner(to.reborrow().init_sender(), &news.sender);
     to.set_as_of(news.as_of.0);
@@ -66,6 +77,14 @@
     for (i, each) in (0..).zip(&news.strikes) {
         strike(strikes.reborrow().get(i), each);
     }
+    let mut loads = to.reborrow().init_loads(count(news.loads.len()));
+    for (i, each) in (0..).zip(&news.loads) {
+        load(loads.reborrow().get(i), each);
+    }
+    let mut doubts = to.reborrow().init_doubts(count(news.doubts.len()));
+    for (i, each) in (0..).zip(&news.doubts) {
+        doubt(doubts.reborrow().get(i), each);
+    }
     delta(to.init_delta(), &news.delta);
 }
 
--- a/crates/cyclamen-peer/src/message.rs
+++ b/crates/cyclamen-peer/src/message.rs
@@ -8,7 +8,7 @@
 use cyclamen_route::board::Summary;
 use cyclamen_route::suspect::Strike;
 use cyclamen_tables::routes::Priority;
-use cyclamen_types::{domain, group, pool, team};
+use cyclamen_types::{domain, group, instance, pool, team};
 
 /// What entries tell each other from time to time.
 #[derive(Debug, Clone, PartialEq)]
@@ -23,6 +23,30 @@
     pub strikes: Vec<Strike>,
     /// Rows that the receiver may lack.
     pub delta: Delta,
+    /// The sender's requests in progress on each worker.
+    pub loads: Vec<Load>,
+    /// Workers that do not answer the sender.
+    pub doubts: Vec<Doubt>,
+}
+
+/// Requests of one entry in progress on a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Load {
+    /// The worker.
+    pub instance: instance::Id,
+    /// The fencing number of its membership in a group; zero without one.
+    pub fence: group::Fence,
+    /// Requests in progress.
+    pub running: u32,
+}
+
+/// One start of a worker that does not answer.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Doubt {
+    /// The worker.
+    pub instance: instance::Id,
+    /// Its start.
+    pub incarnation: instance::Incarnation,
 }
 
 /// The state of one pool in one domain.
--- a/crates/cyclamen-peer/src/peer_capnp.rs
+++ b/crates/cyclamen-peer/src/peer_capnp.rs
@@ -1458,6 +1458,506 @@
     }
 }
 
+pub mod load {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_instance(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_instance(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_fence(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_running(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_instance(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_instance(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_instance(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_instance(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_fence(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_fence(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_running(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_running(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(244, 98, 127, 239, 85, 53, 227, 228),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 76, 111, 97, 100, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 101, 110, 99, 101, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0xe4e3_3555_ef7f_62f4;
+    }
+}
+
+pub mod doubt {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_instance(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_instance(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_instance(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_instance(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_instance(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_instance(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(179, 249, 2, 160, 204, 189, 37, 144),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 68, 111, 117, 98, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0x9025_bdcc_a002_f9b3;
+    }
+}
+
 pub mod news {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1555,11 +2055,27 @@
         pub fn has_delta(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::load::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_doubts(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::doubt::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_doubts(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1681,6 +2197,38 @@
         pub fn has_delta(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::load::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_loads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::load::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        }
+        #[inline]
+        pub fn init_loads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::load::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+        }
+        #[inline]
+        pub fn has_loads(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_doubts(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::doubt::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_doubts(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::doubt::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+        }
+        #[inline]
+        pub fn init_doubts(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::doubt::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+        }
+        #[inline]
+        pub fn has_doubts(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1698,58 +2246,72 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 100] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 138] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(52, 153, 207, 91, 50, 249, 244, 177),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 78, 101, 119, 115, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(238, 160, 2, 162, 185, 8, 188, 205),
@@ -1799,6 +2361,30 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 111, 97, 100, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 98, 127, 239, 85, 53, 227, 228),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 111, 117, 98, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(179, 249, 2, 160, 204, 189, 37, 144),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1807,6 +2393,8 @@
                 2 => <::capnp::struct_list::Owned<crate::peer_capnp::summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::struct_list::Owned<crate::peer_capnp::strike::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::peer_capnp::delta::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::peer_capnp::load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::peer_capnp::doubt::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1820,9 +2408,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,0,3,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,6,5,0,3,2];
         pub(crate) const TYPE_ID: u64 = 0xb1f4_f932_5bcf_9934;
     }
 }
--- a/crates/cyclamen-peer/src/server.rs
+++ b/crates/cyclamen-peer/src/server.rs
@@ -1,6 +1,5 @@
 //! The answering side of a connection.
 
-use std::net::IpAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 
@@ -17,6 +16,7 @@
 use crate::message::{Answer, Ask, News, Release};
 use crate::network::network;
 use crate::peer_capnp as wire;
+use crate::thread::Allowed;
 use crate::{decode, encode};
 
 /// A future that may move between threads.
@@ -38,7 +38,7 @@
 pub(crate) struct Host {
     pub(crate) service: Arc<dyn Service>,
     pub(crate) secret: Arc<str>,
-    pub(crate) allowed: Vec<IpAddr>,
+    pub(crate) allowed: Allowed,
     pub(crate) traffic: Arc<Traffic>,
 }
 
@@ -52,7 +52,7 @@
             let Ok((stream, peer)) = listener.accept().await else {
                 continue;
             };
-            if self.allowed.contains(&peer.ip()) {
+            if self.allowed.allows(peer.ip()) {
                 let serving = self.clone().serve(stream);
                 executor.spawn(serving).detach();
             } else {
--- a/crates/cyclamen-peer/src/thread.rs
+++ b/crates/cyclamen-peer/src/thread.rs
@@ -31,8 +31,26 @@
     pub listen: SocketAddr,
     /// The secret that entries share.
     pub secret: Arc<str>,
-    /// The addresses that may call.
-    pub allowed: Vec<IpAddr>,
+    /// Who may call.
+    pub allowed: Allowed,
+}
+
+/// Who may call, besides knowing the secret.
+#[derive(Debug, Clone)]
+pub enum Allowed {
+    /// Whoever reaches the listener.
+    Anyone,
+    /// Callers from these addresses.
+    Only(Vec<IpAddr>),
+}
+
+impl Allowed {
+    pub(crate) fn allows(&self, caller: IpAddr) -> bool {
+        match self {
+            Self::Anyone => true,
+            Self::Only(addresses) => addresses.contains(&caller),
+        }
+    }
 }
 
 /// Makes calls to other entries from any thread.
--- /dev/null
+++ b/crates/cyclamen-replica/src/lib.rs
@@ -0,0 +1,16 @@
+//! Which workers form replica groups of which models.
+//!
+//! Every entry works out from the platform's list which groups are whole
+//! ([`Groups`]). The owner of a fabric domain gives orders to its workers
+//! ([`Planner`]). The groups themselves are kept by the workers, which refuse
+//! orders with an old fencing number; nothing is formed anew that still serves.
+
+mod groups;
+mod mix;
+mod order;
+mod planner;
+
+pub use groups::{Group, Groups, State};
+pub use mix::{Mix, mix};
+pub use order::{Command, Ending, Order};
+pub use planner::{Options, Planner, Scene, Worker};
--- /dev/null
+++ b/crates/cyclamen-replica/src/planner/spares.rs
@@ -0,0 +1,107 @@
+//! Spares: free workers that hold the weights of a model before they are needed.
+
+use cyclamen_directory::service::Model;
+use cyclamen_types::instance;
+
+use crate::mix::{Mix, mix};
+use crate::order::{Command, Order};
+use crate::planner::forming::{Distance, spares_of};
+use crate::planner::{Planner, Scene, Worker};
+
+impl Planner {
+    /// Has free workers load weights: first what a missing group lacks, then spares.
+    pub(super) fn prepare_spares(
+        &mut self,
+        scene: &Scene<'_>,
+        standing: &Mix,
+        free: &[&Worker],
+        orders: &mut Vec<Command>,
+    ) {
+        let mut spares = spares_of(free);
+        let wanted = mix(scene.engine, free.len(), standing, scene.elsewhere);
+        let mut idle: Vec<&Worker> = free.to_vec();
+        idle.retain(|w| !self.is_staging(scene, &w.instance.id));
+        for model in &scene.engine.models {
+            let there = standing.get(&model.name).copied().unwrap_or(0);
+            let missing = wanted.get(&model.name).copied().unwrap_or(0) > there;
+            let held = spares.get(&model.name).copied().unwrap_or(0);
+            let lacking = model.size.saturating_sub(held + self.staging(scene, model));
+            for _ in 0..if missing { lacking } else { 0 } {
+                self.stage(scene, model, &mut idle, orders);
+            }
+        }
+        idle.retain(|w| w.instance.staged.is_empty());
+        while let Some(worker) = idle.first() {
+            let id = worker.instance.id.clone();
+            let next = scene.engine.models.iter().min_by(|a, b| {
+                let cover = |m: &Model| {
+                    let held = spares.get(&m.name).copied().unwrap_or(0);
+                    let members = standing.get(&m.name).copied().unwrap_or(0).max(1) * m.size;
+                    (held + self.staging(scene, m)) as f64 / members as f64
+                };
+                cover(a).total_cmp(&cover(b)).then(b.size.cmp(&a.size))
+            });
+            let Some(model) = next else {
+                return;
+            };
+            *spares.entry(model.name.clone()).or_default() += 1;
+            self.stage(scene, model, &mut idle, orders);
+            idle.retain(|w| w.instance.id != id);
+        }
+    }
+
+    /// Has the worker with the least to lose load the weights of a model.
+    fn stage(
+        &mut self,
+        scene: &Scene<'_>,
+        model: &Model,
+        idle: &mut Vec<&Worker>,
+        orders: &mut Vec<Command>,
+    ) {
+        let lacking = idle
+            .iter()
+            .filter(|w| self.distance(&w.instance, &model.name) >= Distance::Load);
+        let next = lacking.min_by_key(|w| self.distance(&w.instance, &model.name));
+        let Some(worker) = next.copied().filter(|_| self.may_load(scene, 1)) else {
+            return;
+        };
+        idle.retain(|w| w.instance.id != worker.instance.id);
+        self.loads.push(scene.now);
+        orders.push(Command {
+            instance: worker.instance.id.clone(),
+            address: worker.instance.address,
+            order: Order::Stage {
+                model: model.name.clone(),
+            },
+        });
+    }
+
+    /// Workers that load the weights of a model at present.
+    fn staging(&self, scene: &Scene<'_>, model: &Model) -> usize {
+        let sent = self.sent.iter();
+        sent.filter(|(id, (order, _))| {
+            let this = matches!(order, Order::Stage { model: m } if *m == model.name);
+            this && self.is_staging(scene, id)
+        })
+        .count()
+    }
+
+    /// Whether a worker was told to load weights that its host does not hold yet.
+    fn is_staging(&self, scene: &Scene<'_>, id: &instance::Id) -> bool {
+        let Some((Order::Stage { model }, at)) = self.sent.get(id) else {
+            return false;
+        };
+        let holds = scene
+            .worker(id)
+            .is_none_or(|w| w.instance.staged.contains(model));
+        let load = scene.engine.model(model).map(|m| m.load);
+        let in_time = load.is_some_and(|load| scene.now.since(*at) < 2 * load);
+        !holds && in_time
+    }
+
+    /// Whether that many loads of weights may begin now.
+    pub(super) fn may_load(&self, scene: &Scene<'_>, count: usize) -> bool {
+        let fresh = scene.workers.iter().all(|w| w.instance.staged.is_empty());
+        fresh || self.loads.len() + count <= self.options.loads
+    }
+}
--- a/crates/cyclamen-types/src/lib.rs
+++ b/crates/cyclamen-types/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod error;
 pub mod group;
 pub mod instance;
+pub mod model;
 pub mod pool;
 pub mod route;
 pub mod team;
--- a/crates/cyclamenpath/src/command/check.rs
+++ b/crates/cyclamenpath/src/command/check.rs
@@ -4,14 +4,19 @@
 
 use cyclamen_entry::Settings;
 use eyre::{WrapErr, bail, eyre};
+use serde::de::DeserializeOwned;
 
 /// Reads a settings file; every fault names its key.
-pub(crate) fn read(path: &Path) -> eyre::Result<Settings> {
+pub(crate) fn read<S, F>(path: &Path, faults: impl Fn(&S) -> Vec<F>) -> eyre::Result<S>
+where
+    S: DeserializeOwned,
+    F: ToString,
+{
     let text = std::fs::read(path).wrap_err("the settings file cannot be read")?;
     let decoder = &mut serde_json::Deserializer::from_slice(&text);
-    let settings: Settings = serde_path_to_error::deserialize(decoder)
+    let settings: S = serde_path_to_error::deserialize(decoder)
         .map_err(|error| eyre!("{}: {}", error.path(), error.inner()))?;
-    let faults = settings.faults();
+    let faults = faults(&settings);
     if !faults.is_empty() {
         let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
         bail!("{}", faults.join("\n"));
@@ -20,7 +25,7 @@
 }
 
 pub(crate) fn run(path: &Path) -> eyre::Result<()> {
-    let settings = read(path)?;
+    let settings = read(path, Settings::faults)?;
     println!("{}: well", settings.name);
     Ok(())
 }
--- a/crates/cyclamenpath/src/command/mod.rs
+++ b/crates/cyclamenpath/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod check;
 pub(crate) mod entry;
+pub(crate) mod gateway;
 pub(crate) mod key_digest;
 pub(crate) mod schema;
 pub(crate) mod status;
--- a/crates/cyclamenpath/src/lib.rs
+++ b/crates/cyclamenpath/src/lib.rs
@@ -15,6 +15,7 @@
     line::start(arguments.log)?;
     match arguments.command {
         Command::Entry { settings } => command::entry::run(&settings),
+        Command::Gateway { settings } => command::gateway::run(&settings),
         Command::Check { settings } => command::check::run(&settings),
         Command::Schema { of } => command::schema::run(of),
         Command::Routes { action } => command::table::run("routes", action),
--- a/crates/cyclamenpath/src/options.rs
+++ b/crates/cyclamenpath/src/options.rs
@@ -27,6 +27,12 @@
         #[arg(long)]
         settings: PathBuf,
     },
+    /// Run an entry instance before workers that keep their replica groups themselves.
+    Gateway {
+        /// The settings file.
+        #[arg(long)]
+        settings: PathBuf,
+    },
     /// Check a settings file without starting.
     Check {
         /// The settings file.
