fix: tell other entries only of workers that were found silent first-hand

Ruled out: the store (up at the time), the lease (held), load. Plain workers are not asked: each question took a place.

--- a/crates/cyclamen-gateway/src/node/beliefs.rs
+++ b/crates/cyclamen-gateway/src/node/beliefs.rs
@@ -1,22 +1,18 @@
 //! What rows and news change in this entry's beliefs.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use cyclamen_cache::{Key, Revision};
 use cyclamen_directory::instance::Status;
 use cyclamen_directory::service::{Cold, Engine, Service};
 use cyclamen_directory::{Entry, Instance};
 use cyclamen_dispatch::Target;
-use cyclamen_replica::{Group, Groups, State as GroupState};
-use cyclamen_types::{Time, group, instance};
+use cyclamen_replica::{Group, Groups, Start, State as GroupState};
+use cyclamen_types::{Time, entry, group, instance};
 
 use crate::edge::{Platform, Record, Row, Snapshot, Subject, Table};
 use crate::node::State;
 
-/// How long a doubt about a worker holds that nobody has confirmed.
-const DOUBT_MEMORY: Duration = Duration::from_secs(3);
-
 /// The tables that every entry follows, and tells others of.
 pub(crate) const FOLLOWED: [Table; 2] = [Table::Operators, Table::Instances];
 
@@ -172,49 +168,64 @@
         );
     }
 
-    /// Takes note that a worker does not answer; whether that is news.
-    pub(crate) fn doubt(
-        &mut self,
-        now: Time,
-        id: &instance::Id,
-        incarnation: instance::Incarnation,
-    ) -> bool {
-        let news = self.doubts.insert((id.clone(), incarnation), now).is_none();
+    /// Takes note that a worker left questions unanswered; whether that is news.
+    pub(crate) fn doubt(&mut self, now: Time, start: &Start) -> bool {
+        let news = self.doubts.silent(now, start);
         if news {
-            log::info!("event=instance_doubted instance={id} incarnation={incarnation}");
+            log::info!(
+                "event=instance_doubted instance={} incarnation={}",
+                start.instance,
+                start.incarnation
+            );
             self.refresh_targets(now);
         }
         news
     }
 
-    /// Takes note that a worker answers after all.
-    pub(crate) fn trust(
+    /// Takes note that a worker answers.
+    pub(crate) fn trust(&mut self, now: Time, start: &Start) {
+        if self.doubts.answered(now, start) {
+            log::info!(
+                "event=instance_trusted instance={} incarnation={}",
+                start.instance,
+                start.incarnation
+            );
+            self.refresh_targets(now);
+        }
+    }
+
+    /// Takes note of what another entry doubts; the listed workers to be asked now.
+    pub(crate) fn hear_doubts(
         &mut self,
         now: Time,
-        id: &instance::Id,
-        incarnation: instance::Incarnation,
-    ) {
-        if self.doubts.remove(&(id.clone(), incarnation)).is_some() {
-            log::info!("event=instance_trusted instance={id} incarnation={incarnation}");
+        entry: &entry::Name,
+        doubted: impl IntoIterator<Item = Start>,
+    ) -> Vec<Arc<Instance>> {
+        let register = &self.register;
+        let listed = doubted.into_iter().filter(|start| {
+            let known = register.get(&start.instance);
+            known.is_some_and(|e| e.instance.incarnation == start.incarnation)
+        });
+        let to_ask = self.doubts.hear(now, entry, listed);
+        if !to_ask.is_empty() {
             self.refresh_targets(now);
         }
+        let entries = to_ask.iter().filter_map(|s| self.register.get(&s.instance));
+        entries.map(|entry| entry.instance.clone()).collect()
     }
 
     /// Forgets doubts that nobody has confirmed, and instances that did not come back.
     pub(crate) fn expire_beliefs(&mut self, now: Time) {
-        let before = self.doubts.len();
-        self.doubts
-            .retain(|_, since| now.since(*since) < DOUBT_MEMORY);
+        let trusted = self.doubts.expire(now);
         let gone = self.register.expire(now);
-        if gone || self.doubts.len() < before {
+        if gone || trusted {
             self.refresh_targets(now);
         }
     }
 
-    /// Whether a worker does not answer, as far as is known.
+    /// Whether a worker should get no new work, as far as is known.
     pub(crate) fn is_doubted(&self, instance: &Instance) -> bool {
-        let start = (instance.id.clone(), instance.incarnation);
-        self.doubts.contains_key(&start)
+        self.doubts.is_doubted(&Start::from(instance))
     }
 
     /// Whether a target, or a member of the group whose head it is, does not answer any more.
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -8,6 +8,7 @@
 use cyclamen_dispatch::{Dispatcher, Retries};
 use cyclamen_domain::Owner;
 use cyclamen_lease::Holder;
+use cyclamen_replica::Doubts;
 use cyclamen_route::{Suspects, suspect};
 use cyclamen_types::{Time, entry, instance, pool, zone};
 use rand::rngs::SmallRng;
@@ -26,8 +27,8 @@
     pub(crate) zones_out: BTreeSet<zone::Name>,
     pub(crate) register: Register,
     pub(crate) dispatcher: Dispatcher,
-    /// Workers that do not answer, by their start, and since when.
-    pub(crate) doubts: BTreeMap<(instance::Id, instance::Incarnation), Time>,
+    /// Which workers are there.
+    pub(crate) doubts: Doubts,
     /// Rows of the tables that are followed, for other entries.
     pub(crate) rows: Cache,
     /// Up to which revision each followed table is known.
@@ -65,7 +66,7 @@
             zones_out: BTreeSet::new(),
             register: Register::default(),
             dispatcher: Dispatcher::new(cyclamen_dispatch::Options::default()),
-            doubts: BTreeMap::new(),
+            doubts: Doubts::default(),
             rows: Cache::default(),
             positions: BTreeMap::new(),
             peers: BTreeMap::new(),
--- a/crates/cyclamen-gateway/src/tasks/check.rs
+++ b/crates/cyclamen-gateway/src/tasks/check.rs
@@ -6,6 +6,7 @@
 
 use cyclamen_directory::Instance;
 use cyclamen_dispatch::Target;
+use cyclamen_replica::Start;
 
 use crate::node::Node;
 use crate::settings::span;
@@ -16,10 +17,14 @@
 /// The least time between two checks of one group.
 const CHECK_EVERY: Duration = Duration::from_millis(250);
 
-/// Asks a worker that fails requests, and every member of its group, if it has one.
+/// Asks every member of the group whose head a worker is.
 ///
-/// A check that was made a moment ago is not repeated.
+/// A check that was made a moment ago is not repeated. Workers of plain
+/// services are not asked: each question takes a place of a request.
 pub(crate) fn check_target(node: &Arc<Node>, target: &Target) {
+    if target.model.is_none() {
+        return;
+    }
     let now = node.now();
     let id = &target.instance;
     let members: Vec<Arc<Instance>> = {
@@ -29,13 +34,8 @@
             return;
         }
         state.checked.insert(id.clone(), now);
-        match state.group_of_head(id) {
-            Some(group) => group.members.into_values().collect(),
-            None => {
-                let listed = state.register.get(id);
-                listed.map(|e| e.instance.clone()).into_iter().collect()
-            }
-        }
+        let group = state.group_of_head(id);
+        group.map_or_else(Vec::new, |g| g.members.into_values().collect())
     };
     log::info!("event=group_checked head={id} members={}", members.len());
     for member in members {
@@ -44,16 +44,17 @@
 }
 
 /// Asks one worker, and doubts it if it does not answer.
-fn check_worker(node: &Arc<Node>, worker: Arc<Instance>) {
+pub(super) fn check_worker(node: &Arc<Node>, worker: Arc<Instance>) {
     let node = node.clone();
     let checking = async move {
+        let start = Start::from(worker.as_ref());
         if answers(&node, worker.address).await {
             let now = node.now();
-            node.state().trust(now, &worker.id, worker.incarnation);
+            node.state().trust(now, &start);
             return;
         }
         let now = node.now();
-        let news = node.state().doubt(now, &worker.id, worker.incarnation);
+        let news = node.state().doubt(now, &start);
         if news {
             tell_all(&node);
             node.wake_planner();
@@ -76,8 +77,13 @@
 pub(super) fn recheck_doubted(node: &Arc<Node>) {
     let doubted: Vec<Arc<Instance>> = {
         let state = node.state();
-        let listed = state.register.entries().map(|entry| &entry.instance);
-        listed.filter(|i| state.is_doubted(i)).cloned().collect()
+        let doubted = state.doubts.own();
+        let listed = doubted.filter_map(|start| {
+            let entry = state.register.get(&start.instance)?;
+            let same = entry.instance.incarnation == start.incarnation;
+            same.then(|| entry.instance.clone())
+        });
+        listed.collect()
     };
     for worker in doubted {
         check_worker(node, worker);
--- a/crates/cyclamen-gateway/src/tasks/news.rs
+++ b/crates/cyclamen-gateway/src/tasks/news.rs
@@ -4,11 +4,13 @@
 
 use cyclamen_cache::{Delta, Revision};
 use cyclamen_peer::{Doubt, News};
+use cyclamen_replica::Start;
 use cyclamen_types::{Time, entry};
 
 use crate::edge::{Row, Table};
 use crate::node::{FOLLOWED, Node, State};
 use crate::settings::span;
+use crate::tasks::check::check_worker;
 
 /// Rows that one piece of news carries at most.
 const ROW_LIMIT: usize = 256;
@@ -101,16 +103,16 @@
     let rows: Vec<Row> = news.delta.rows.into_iter().filter_map(row).collect();
     let some_rows = !rows.is_empty();
     state.take_rows(now, node.platform.as_ref(), rows);
-    let mut wake = some_rows;
-    for doubt in news.doubts {
-        let listed = state.register.get(&doubt.instance);
-        let listed = listed.is_some_and(|e| e.instance.incarnation == doubt.incarnation);
-        if listed && state.doubt(now, &doubt.instance, doubt.incarnation) {
-            wake = true;
-        }
-    }
+    let doubted = news.doubts.into_iter().map(|doubt| Start {
+        instance: doubt.instance,
+        incarnation: doubt.incarnation,
+    });
+    let to_ask = state.hear_doubts(now, &news.sender.entry, doubted);
     drop(state);
-    if wake {
+    for worker in to_ask {
+        check_worker(node, worker);
+    }
+    if some_rows {
         node.wake_planner();
     }
 }
@@ -123,9 +125,9 @@
         .map(|since| state.rows.changes_since(since));
     let mut delta = delta.unwrap_or_default();
     delta.rows.truncate(ROW_LIMIT);
-    let doubts = state.doubts.keys().map(|(instance, incarnation)| Doubt {
-        instance: instance.clone(),
-        incarnation: *incarnation,
+    let doubts = state.doubts.own().map(|start| Doubt {
+        instance: start.instance.clone(),
+        incarnation: start.incarnation,
     });
     let loads = state.dispatcher.loads().into_iter();
     News {
--- a/crates/cyclamen-gateway/src/tasks/plan.rs
+++ b/crates/cyclamen-gateway/src/tasks/plan.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cyclamen_directory::service::Service;
-use cyclamen_replica::{Command, Mix, Scene, State as GroupState, Worker};
+use cyclamen_replica::{Command, Mix, Scene, Start, State as GroupState, Worker};
 use cyclamen_types::{Time, domain};
 use smol::Timer;
 use smol::future::or;
@@ -51,7 +51,7 @@
     let mut planners = std::mem::take(&mut state.ownership.planners);
     let mut commands = Vec::new();
     for (name, planner) in &mut planners {
-        let workers = workers(state, service, name);
+        let workers = workers(state, now, service, name);
         if workers.is_empty() {
             continue;
         }
@@ -67,7 +67,7 @@
     commands
 }
 
-fn workers(state: &State, service: &Service, domain: &domain::Name) -> Vec<Worker> {
+fn workers(state: &State, now: Time, service: &Service, domain: &domain::Name) -> Vec<Worker> {
     let entries = state.register.entries();
     let here = entries.filter(|entry| {
         let instance = &entry.instance;
@@ -75,7 +75,11 @@
     });
     here.map(|entry| Worker {
         instance: entry.instance.clone(),
-        answers: entry.is_listed() && !state.is_doubted(&entry.instance),
+        answers: !state
+            .doubts
+            .is_lost(now, &Start::from(entry.instance.as_ref())),
+        listed: entry.is_listed(),
+        doubted: state.is_doubted(&entry.instance),
         zone_in: !state.zones_out.contains(&entry.instance.zone),
     })
     .collect()
--- a/crates/cyclamen-replica/src/planner.rs
+++ b/crates/cyclamen-replica/src/planner.rs
@@ -46,8 +46,12 @@
 pub struct Worker {
     /// The worker as it is listed.
     pub instance: Arc<Instance>,
-    /// Whether it answers, as far as is known.
+    /// Whether it answers; false only once it counts as lost.
     pub answers: bool,
+    /// Whether it is listed, and not only remembered from before an outage.
+    pub listed: bool,
+    /// Whether it is doubted, so that it should begin nothing new.
+    pub doubted: bool,
     /// Whether its availability zone takes work.
     pub zone_in: bool,
 }
@@ -220,7 +224,8 @@
         workers
             .filter(|w| {
                 let instance = &w.instance;
-                let ready = w.answers && w.zone_in && instance.status == Status::Ready;
+                let present = w.answers && w.listed && !w.doubted;
+                let ready = present && w.zone_in && instance.status == Status::Ready;
                 let passed_over = self.passed_over.contains_key(&instance.id);
                 let member = instance.membership.is_some() || joining.contains(&instance.id);
                 ready && !passed_over && !member
