--- a/crates/cyclamen-replica/src/planner.rs
+++ b/crates/cyclamen-replica/src/planner.rs
@@ -28,6 +28,8 @@
     pub load_window: Duration,
     /// Loads of weights that may begin in a window while groups serve.
     pub loads: usize,
+    /// The time that a spare has to get ready for its model by joining a group of its own.
+    pub warming: Duration,
 }
 
 impl Default for Options {
@@ -37,6 +39,7 @@
             begin: Duration::from_millis(2_500),
             load_window: Duration::from_secs(5),
             loads: 4,
+            warming: Duration::from_secs(4),
         }
     }
 }
@@ -98,6 +101,8 @@
     /// Workers that did not begin to join, and until when they are passed over.
     passed_over: BTreeMap<instance::Id, Time>,
     loads: Vec<Time>,
+    /// Spares that join a group of their own, so that they return to its model at once later.
+    warming: BTreeMap<group::Id, Time>,
 }
 
 impl Planner {
@@ -113,6 +118,7 @@
             last_model: BTreeMap::new(),
             passed_over: BTreeMap::new(),
             loads: Vec::new(),
+            warming: BTreeMap::new(),
         }
     }
 
@@ -159,12 +165,14 @@
         self.passed_over.retain(|_, until| scene.now < *until);
         let window = self.options.load_window;
         self.loads.retain(|at| scene.now.since(*at) < window);
+        let warming = self.options.warming;
+        self.warming.retain(|_, at| scene.now.since(*at) < warming);
     }
 
     /// Opens groups that are ready and gives up those that cannot serve any more.
     fn follow_standing(&mut self, scene: &Scene<'_>, groups: &Groups, orders: &mut Vec<Command>) {
         for group in groups.iter() {
-            if self.forming.contains_key(&group.id) {
+            if self.forming.contains_key(&group.id) || self.is_warming(scene, group) {
                 continue;
             }
             let key = (group.id.clone(), group.fence);
--- a/crates/cyclamen-replica/src/planner/spares.rs
+++ b/crates/cyclamen-replica/src/planner/spares.rs
@@ -1,8 +1,13 @@
 //! Spares: free workers that hold the weights of a model before they are needed.
 
+use std::sync::Arc;
+
+use cyclamen_directory::Instance;
+use cyclamen_directory::instance::Phase;
 use cyclamen_directory::service::Model;
-use cyclamen_types::instance;
+use cyclamen_types::{group, instance};
 
+use crate::groups::Group;
 use crate::mix::{Mix, mix};
 use crate::order::{Command, Order};
 use crate::planner::forming::{Distance, spares_of};
@@ -30,6 +35,7 @@
                 self.stage(scene, model, &mut idle, orders);
             }
         }
+        self.warm(scene, &mut idle, orders);
         idle.retain(|w| w.instance.staged.is_empty());
         while let Some(worker) = idle.first() {
             let id = worker.instance.id.clone();
@@ -50,6 +56,49 @@
         }
     }
 
+    /// Has spares that hold weights join groups of their own.
+    ///
+    /// A worker whose last group had a model joins the next one of that model in
+    /// a fraction of the time that it takes from the host's copy.
+    fn warm(&mut self, scene: &Scene<'_>, idle: &mut Vec<&Worker>, orders: &mut Vec<Command>) {
+        let mut warming = Vec::new();
+        for worker in idle.iter() {
+            let instance = &worker.instance;
+            let Some(model) = instance.staged.last() else {
+                continue;
+            };
+            if self.distance(instance, model) != Distance::Staged {
+                continue;
+            }
+            let fence = self.next_fence();
+            let Ok(group) = format!("{}-{fence}", self.domain).parse::<group::Id>() else {
+                continue;
+            };
+            self.warming.insert(group.clone(), scene.now);
+            warming.push(instance.id.clone());
+            orders.push(Command {
+                instance: instance.id.clone(),
+                address: instance.address,
+                order: Order::Join {
+                    group,
+                    fence,
+                    model: model.clone(),
+                    members: vec![instance.id.clone()],
+                },
+            });
+        }
+        idle.retain(|w| !warming.contains(&w.instance.id));
+    }
+
+    /// Whether a group consists of a spare that is getting ready for its model.
+    pub(super) fn is_warming(&self, scene: &Scene<'_>, group: &Group) -> bool {
+        let joining = |m: &Arc<Instance>| {
+            let phase = m.membership.as_ref().map(|m| m.phase);
+            phase == Some(Phase::Joining) && !scene.lost(m)
+        };
+        self.warming.contains_key(&group.id) && group.members.values().any(joining)
+    }
+
     /// Has the worker with the least to lose load the weights of a model.
     fn stage(
         &mut self,
