feat: forecast the first event of each group, refuse what it cannot meet, news twice as near

Cause: heads were chosen by counts of requests alone; the first event of a large prompt waits for the prompts ahead of it. Spares of a small model stood idle while groups of the large one waited 16 s for weights. Change: a forecast from the engine's rounds and the prompt tokens ahead decides where a request goes and when it is refused; callers that come back late give way; spares follow the model whose group would be missed most; entries of a zone exchange news each 60 ms, others each 250 ms; planning waits until the list has settled.

--- a/crates/cyclamen-directory/src/service.rs
+++ b/crates/cyclamen-directory/src/service.rs
@@ -42,6 +42,10 @@
     pub step_per_request: Duration,
     /// Prompt tokens read in a second.
     pub read_per_second: f64,
+    /// The most prompt tokens that are read between two rounds of token steps.
+    pub chunk: u64,
+    /// Token steps in a round.
+    pub stride: u32,
     /// Loads of weights that may begin in a second, over all workers.
     pub loads_per_second: f64,
     /// Loads at once beyond which each takes longer.
--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -8,19 +8,32 @@
 use rand::Rng;
 
 use crate::allowance::Allowance;
-use crate::estimate::Estimate;
+use crate::forecast::Forecast;
+
+/// The cost of a worker that has just failed a request, in goals.
+const FAULT_COST: f64 = 2.0;
+/// The weight of chance between workers that cost the same, in goals.
+const TIE_BREAK: f64 = 0.02;
+/// A worker may queue one part in this many of what it runs at once.
+const QUEUE_PART: u32 = 4;
+/// When to come back to cold workers.
+const COLD_WAIT: Duration = Duration::from_millis(500);
 
 /// Bounds of dispatching.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
-    /// How much more loaded a worker of this zone may be than one of another, in parts of its slots.
+    /// How much longer the wait on a worker of this zone may be than on one of another, in
+    /// parts of the request's goal.
     pub home_bonus: f64,
     /// How long the counts of another entry hold without news.
     pub peer_memory: Duration,
-    /// The service time of a request before any has ended.
-    pub first_time: Duration,
-    /// The longest wait for a slot, in parts of the request's goal, before it is refused.
+    /// The time that a worker of a plain service takes for as many requests as it has slots.
+    pub plain_time: Duration,
+    /// The longest forecast wait for the first part of an answer, in parts of the request's
+    /// goal, before it is refused.
     pub wait_share: f64,
+    /// The time that an answer takes beside the forecast rounds of its engine.
+    pub overhead: Duration,
     /// The shortest time after which a refused caller is told to come back.
     pub least_wait: Duration,
     /// How long a worker that failed a request is chosen only if there is no other.
@@ -30,10 +43,11 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            home_bonus: 0.1,
+            home_bonus: 0.3,
             peer_memory: Duration::from_secs(1),
-            first_time: Duration::from_millis(600),
-            wait_share: 0.8,
+            plain_time: Duration::from_millis(25),
+            wait_share: 1.0,
+            overhead: Duration::from_millis(130),
             least_wait: Duration::from_millis(200),
             penalty: Duration::from_millis(1_000),
         }
@@ -61,6 +75,8 @@
     pub slots: u32,
     /// Until when it is cold, and what it bears in a second until then.
     pub cold: Option<(Time, f64)>,
+    /// How fast it works, if it runs a model.
+    pub forecast: Option<Forecast>,
 }
 
 /// A request that looks for a worker.
@@ -78,8 +94,10 @@
     pub goal: Duration,
     /// The time left until the deadline.
     pub left: Duration,
-    /// The urgency, from 0 to 1; more urgent requests may wait longer for a slot.
-    pub urgency: f64,
+    /// Whether the goal cannot be met any more, so that the request gives way to others.
+    pub late: bool,
+    /// Tokens of its prompt.
+    pub tokens: u64,
     /// The entries that share what is divided.
     pub entries: usize,
 }
@@ -93,6 +111,12 @@
     pub at: Time,
     /// Requests on it beside this one, of all entries.
     pub running: u32,
+    /// Prompt tokens ahead of this one, of all entries.
+    pub backlog: u64,
+    /// Tokens of its own prompt.
+    pub tokens: u64,
+    /// The forecast wait for the first part of its answer.
+    pub forecast: Duration,
 }
 
 /// How a request on a worker ended.
@@ -148,13 +172,31 @@
     pub fence: group::Fence,
     /// Requests in progress.
     pub running: u32,
+    /// Prompt tokens of those that have not begun to answer.
+    pub backlog: u64,
+}
+
+/// Requests in progress on a worker, and the prompts among them that wait.
+#[derive(Debug, Clone, Copy, Default)]
+struct Work {
+    running: u32,
+    backlog: u64,
+}
+
+impl Work {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            running: self.running + other.running,
+            backlog: self.backlog + other.backlog,
+        }
+    }
 }
 
 /// What is known of one worker's load.
 #[derive(Debug)]
 struct Slot {
     target: Target,
-    running: u32,
+    work: Work,
     allowance: Allowance,
     failed: Option<Time>,
 }
@@ -166,8 +208,7 @@
 pub struct Dispatcher {
     options: Options,
     slots: BTreeMap<Place, Slot>,
-    peers: BTreeMap<String, (Time, BTreeMap<Place, u32>)>,
-    times: BTreeMap<(pool::Service, Option<model::Name>), Estimate>,
+    peers: BTreeMap<String, (Time, BTreeMap<Place, Work>)>,
 }
 
 impl Dispatcher {
@@ -177,7 +218,6 @@
             options,
             slots: BTreeMap::new(),
             peers: BTreeMap::new(),
-            times: BTreeMap::new(),
         }
     }
 
@@ -192,7 +232,7 @@
                 Some(slot) => Slot { target, ..slot },
                 None => Slot {
                     target,
-                    running: 0,
+                    work: Work::default(),
                     allowance: Allowance::default(),
                     failed: None,
                 },
@@ -208,77 +248,62 @@
         want: &Want<'_>,
         rng: &mut impl Rng,
     ) -> Result<Sent, Refusal> {
-        let mut best: Option<(f64, Place)> = None;
-        let mut refusal = Reason::NoWorker;
-        let peers = self.peer_counts(now);
-        let limit = self.limit(want);
-        let penalty = self.options.penalty;
+        let peers = self.peer_work(now);
+        let mut refused = Refused::default();
+        let mut best: Option<(f64, Place, Work)> = None;
         for (place, slot) in &mut self.slots {
-            let target = &slot.target;
-            let fits = target.service == *want.service && target.model.as_ref() == want.model;
-            if !fits || want.avoid.contains(&target.instance) {
+            if !slot.fits(want) {
                 continue;
             }
-            let running = slot.running + peers.get(place).copied().unwrap_or(0);
-            let load = f64::from(running) / f64::from(target.slots.max(1));
-            if load >= limit {
-                refusal = Reason::Overloaded;
+            let work = slot
+                .work
+                .plus(peers.get(place).copied().unwrap_or_default());
+            let wait = slot.wait(work, &self.options);
+            if !self.options.accepts(want, &slot.target, work, wait) {
+                refused.overloaded(wait);
                 continue;
             }
-            if let Some((until, per_second)) = target.cold
-                && now < until
-                && !slot.allowance.allows(now, per_second, want.entries)
-            {
-                refusal = worse(refusal, Reason::Cold);
+            if !slot.spares(now, want.entries) {
+                refused.cold = true;
                 continue;
             }
-            let away = if target.zone == *want.zone {
-                0.0
-            } else {
-                self.options.home_bonus
-            };
-            let failed = slot.failed.is_some_and(|at| now.since(at) < penalty);
-            let fault = if failed { limit } else { 0.0 };
-            let cost = load + away + fault + rng.random::<f64>() / f64::from(target.slots.max(1));
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, place.clone()));
+            let cost = self.options.cost(now, want, slot, wait) + rng.random::<f64>() * TIE_BREAK;
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, place.clone(), work));
             }
         }
-        let Some((_, place)) = best else {
-            return Err(self.refusal(want, refusal));
+        let chosen = best.and_then(|(_, place, work)| Some((self.slots.get_mut(&place)?, work)));
+        let Some((slot, work)) = chosen else {
+            return Err(refused.refusal(want, &self.options));
         };
-        let running = peers.get(&place).copied().unwrap_or(0);
-        match self.slots.get_mut(&place) {
-            Some(slot) => {
-                let running = running + slot.running;
-                slot.running += 1;
-                slot.allowance.spend(now);
-                Ok(Sent {
-                    target: slot.target.clone(),
-                    at: now,
-                    running,
-                })
-            }
-            None => Err(self.refusal(want, refusal)),
+        let forecast = slot.wait(work, &self.options);
+        slot.work.running += 1;
+        slot.work.backlog += want.tokens;
+        slot.allowance.spend(now);
+        Ok(Sent {
+            target: slot.target.clone(),
+            at: now,
+            running: work.running,
+            backlog: work.backlog,
+            tokens: want.tokens,
+            forecast,
+        })
+    }
+
+    /// Takes note that a request begins to be answered.
+    pub fn started(&mut self, sent: &Sent) {
+        if let Some(slot) = self.slot_of(sent) {
+            slot.work.backlog = slot.work.backlog.saturating_sub(sent.tokens);
         }
     }
 
-    /// Takes note of how a request ended.
-    pub fn ended(&mut self, now: Time, sent: &Sent, end: End) {
-        let target = &sent.target;
-        if end == End::Whole {
-            let kind = (target.service.clone(), target.model.clone());
-            let first = Estimate::starting_at(self.options.first_time);
-            self.times
-                .entry(kind)
-                .or_insert(first)
-                .add(now.since(sent.at));
+    /// Takes note of how a request ended; `started` tells whether it was being answered.
+    pub fn ended(&mut self, now: Time, sent: &Sent, end: End, started: bool) {
+        if !started {
+            self.started(sent);
         }
-        let place = (target.instance.clone(), target.fence);
-        let slot = self.slots.get_mut(&place);
-        let same = slot.filter(|s| s.target.incarnation == target.incarnation);
-        if let Some(slot) = same {
-            slot.running = slot.running.saturating_sub(1);
+        if let Some(slot) = self.slot_of(sent) {
+            slot.work.running = slot.work.running.saturating_sub(1);
             match end {
                 End::Failed | End::Shed => slot.failed = Some(now),
                 End::Whole => slot.failed = None,
@@ -287,21 +312,33 @@
         }
     }
 
+    /// The slot of a worker, if it is still the start and membership that was chosen.
+    fn slot_of(&mut self, sent: &Sent) -> Option<&mut Slot> {
+        let target = &sent.target;
+        let place = (target.instance.clone(), target.fence);
+        let slot = self.slots.get_mut(&place);
+        slot.filter(|s| s.target.incarnation == target.incarnation)
+    }
+
     /// Takes note of the requests that another entry has in progress.
     pub fn note_peer(&mut self, now: Time, peer: &str, loads: impl IntoIterator<Item = Load>) {
-        let counts = loads
-            .into_iter()
-            .map(|l| ((l.instance, l.fence), l.running));
-        self.peers.insert(peer.to_string(), (now, counts.collect()));
+        let work = loads.into_iter().map(|load| {
+            let Load {
+                running, backlog, ..
+            } = load;
+            ((load.instance, load.fence), Work { running, backlog })
+        });
+        self.peers.insert(peer.to_string(), (now, work.collect()));
     }
 
     /// The requests of this entry in progress, for other entries.
     pub fn loads(&self) -> Vec<Load> {
-        let busy = self.slots.iter().filter(|(_, slot)| slot.running > 0);
+        let busy = self.slots.iter().filter(|(_, s)| s.work.running > 0);
         busy.map(|((instance, fence), slot)| Load {
             instance: instance.clone(),
             fence: *fence,
-            running: slot.running,
+            running: slot.work.running,
+            backlog: slot.work.backlog,
         })
         .collect()
     }
@@ -311,52 +348,101 @@
         self.slots.values().map(|slot| &slot.target)
     }
 
-    /// The load up to which a worker gets more requests, in parts of its slots.
-    ///
-    /// Beyond its slots a worker queues; what it queues may take a part of the
-    /// goal of the request, the more urgent the greater.
-    fn limit(&self, want: &Want<'_>) -> f64 {
-        let service_time = self.time(want).as_secs_f64().max(0.001);
-        let patience = want.goal.min(want.left).as_secs_f64() * self.options.wait_share;
-        1.0 + patience * (0.5 + 0.5 * want.urgency) / service_time
+    fn peer_work(&self, now: Time) -> BTreeMap<Place, Work> {
+        let memory = self.options.peer_memory;
+        let mut sums: BTreeMap<Place, Work> = BTreeMap::new();
+        let fresh = self
+            .peers
+            .values()
+            .filter(|(at, _)| now.since(*at) < memory);
+        for (place, work) in fresh.flat_map(|(_, places)| places) {
+            let sum = sums.entry(place.clone()).or_default();
+            *sum = sum.plus(*work);
+        }
+        sums
     }
+}
 
-    fn time(&self, want: &Want<'_>) -> Duration {
-        let kind = (want.service.clone(), want.model.cloned());
-        let known = self.times.get(&kind);
-        known.map_or(self.options.first_time, Estimate::mean)
+impl Slot {
+    fn fits(&self, want: &Want<'_>) -> bool {
+        let target = &self.target;
+        let serves = target.service == *want.service && target.model.as_ref() == want.model;
+        serves && !want.avoid.contains(&target.instance)
     }
 
-    fn refusal(&self, want: &Want<'_>, reason: Reason) -> Refusal {
-        let wait = match reason {
-            Reason::NoWorker => self.options.least_wait * 2,
-            Reason::Overloaded => self.time(want) / 2,
-            Reason::Cold => Duration::from_millis(500),
-        };
-        Refusal {
-            reason,
-            retry_after: wait.max(self.options.least_wait),
+    /// The forecast wait for the first part of an answer.
+    fn wait(&self, work: Work, options: &Options) -> Duration {
+        match &self.target.forecast {
+            Some(forecast) => {
+                let running = work.running.min(self.target.slots);
+                options.overhead + forecast.wait(work.backlog, running)
+            }
+            None => {
+                let slots = f64::from(self.target.slots.max(1));
+                options.plain_time.mul_f64(f64::from(work.running) / slots)
+            }
         }
     }
 
-    fn peer_counts(&self, now: Time) -> BTreeMap<Place, u32> {
-        let memory = self.options.peer_memory;
-        let mut sums = BTreeMap::new();
-        let fresh = self
-            .peers
-            .values()
-            .filter(|(at, _)| now.since(*at) < memory);
-        for (place, running) in fresh.flat_map(|(_, counts)| counts) {
-            *sums.entry(place.clone()).or_default() += running;
+    /// Whether a cold worker bears one more request.
+    fn spares(&mut self, now: Time, entries: usize) -> bool {
+        match self.target.cold {
+            Some((until, per_second)) if now < until => {
+                self.allowance.allows(now, per_second, entries)
+            }
+            _ => true,
         }
-        sums
     }
 }
 
-/// The refusal that says more.
-fn worse(one: Reason, other: Reason) -> Reason {
-    match (one, other) {
-        (Reason::NoWorker, other) => other,
-        (one, _) => one,
+impl Options {
+    /// Whether a worker may get the request.
+    ///
+    /// The size of the request itself does not count, so that large ones are
+    /// not refused more often than small ones.
+    fn accepts(&self, want: &Want<'_>, target: &Target, work: Work, wait: Duration) -> bool {
+        let full = work.running >= target.slots + target.slots / QUEUE_PART;
+        let patience = if want.late {
+            want.left / 2
+        } else {
+            want.goal.mul_f64(self.wait_share).min(want.left)
+        };
+        !full && wait <= patience
+    }
+
+    /// What it costs to have a worker run the request; the least is best.
+    fn cost(&self, now: Time, want: &Want<'_>, slot: &Slot, wait: Duration) -> f64 {
+        let goal = want.goal.as_secs_f64().max(0.001);
+        let home = slot.target.zone == *want.zone;
+        let away = if home { 0.0 } else { self.home_bonus };
+        let failed = slot.failed.is_some_and(|at| now.since(at) < self.penalty);
+        let fault = if failed { FAULT_COST } else { 0.0 };
+        wait.as_secs_f64() / goal + away + fault
+    }
+}
+
+/// Why workers were passed over.
+#[derive(Debug, Default)]
+struct Refused {
+    least_wait: Option<Duration>,
+    cold: bool,
+}
+
+impl Refused {
+    fn overloaded(&mut self, wait: Duration) {
+        self.least_wait = Some(self.least_wait.map_or(wait, |least| least.min(wait)));
+    }
+
+    /// The refusal, which tells to come back when the least loaded worker has caught up.
+    fn refusal(self, want: &Want<'_>, options: &Options) -> Refusal {
+        let (reason, wait) = match (self.least_wait, self.cold) {
+            (Some(wait), _) => (Reason::Overloaded, wait.saturating_sub(want.goal / 2)),
+            (None, true) => (Reason::Cold, COLD_WAIT),
+            (None, false) => (Reason::NoWorker, options.least_wait * 2),
+        };
+        Refusal {
+            reason,
+            retry_after: wait.max(options.least_wait),
+        }
     }
 }
--- a/crates/cyclamen-dispatch/src/lib.rs
+++ b/crates/cyclamen-dispatch/src/lib.rs
@@ -7,9 +7,10 @@
 
 mod allowance;
 mod dispatcher;
-mod estimate;
+mod forecast;
 mod retries;
 
 pub use allowance::Allowance;
 pub use dispatcher::{Dispatcher, End, Load, Options, Reason, Refusal, Sent, Target, Want};
+pub use forecast::Forecast;
 pub use retries::Retries;
--- a/crates/cyclamen-gateway/src/edge/dialect.rs
+++ b/crates/cyclamen-gateway/src/edge/dialect.rs
@@ -13,6 +13,8 @@
     pub deadline_ms: &'static str,
     /// The model that a request asks for.
     pub model: &'static str,
+    /// The prompt tokens of a request and the most tokens of its answer, with a comma between.
+    pub tokens: &'static str,
     /// The number of the last event that the caller has.
     pub last_event_id: &'static str,
     /// The name of the team that holds the caller's key, set by the system.
--- a/crates/cyclamen-gateway/src/front/job.rs
+++ b/crates/cyclamen-gateway/src/front/job.rs
@@ -30,6 +30,8 @@
     pub(crate) service: Arc<Service>,
     pub(crate) team: Option<Arc<Team>>,
     pub(crate) model: Option<model::Name>,
+    /// Tokens of the prompt.
+    pub(crate) tokens: u64,
     pub(crate) method: Method,
     pub(crate) path: Arc<str>,
     /// The caller's headers without those that the system sets.
@@ -58,6 +60,7 @@
         let asked = header(dialect.deadline_ms).and_then(|text| text.parse::<u64>().ok());
         let asked = asked.map_or(route.timeout, Duration::from_millis);
         let deadline = arrived + asked.min(route.timeout);
+        let tokens = header(dialect.tokens).and_then(|text| text.split(',').next()?.parse().ok());
         let draw = node.state().rng.random();
         let service = route.target(draw).and_then(|name| catalog.service(name));
         let service = service.ok_or(Refusal::unconfigured())?.clone();
@@ -76,6 +79,7 @@
             id,
             team,
             model,
+            tokens: tokens.unwrap_or(0),
             method: conn.method(),
             path: conn.path_and_query().into(),
             headers,
@@ -109,7 +113,7 @@
         let now = self.node.now();
         let mut guard = self.node.state();
         let state = &mut *guard;
-        let priority = self.priority();
+        let waited = self.waited(now);
         let want = Want {
             service: &self.service.name,
             model: self.model.as_ref(),
@@ -117,7 +121,8 @@
             avoid: &self.tried,
             goal: self.route.goal,
             left: self.deadline.since(now),
-            urgency: 1.0 / (1.0 + f64::from(priority)),
+            late: waited >= self.route.goal,
+            tokens: self.tokens,
             entries: state.peers.len() + 1,
         };
         let chosen = state.dispatcher.choose(now, &want, &mut state.rng);
@@ -130,10 +135,31 @@
         team.unwrap_or(self.route.priority).0
     }
 
-    /// Takes note of how the request ended on a worker.
-    pub(crate) fn release(&self, sent: &Sent, end: End) {
+    /// The time for which the caller has waited, with earlier tries that were refused.
+    ///
+    /// A caller that comes back has less time left than the route gives.
+    fn waited(&self, now: Time) -> Duration {
+        let before = self
+            .route
+            .timeout
+            .saturating_sub(self.deadline.since(self.arrived));
+        before + now.since(self.arrived)
+    }
+
+    /// Whether the answer comes later than the route's goal in any case.
+    pub(crate) fn is_late(&self) -> bool {
+        self.waited(self.node.now()) >= self.route.goal
+    }
+
+    /// Takes note that the request begins to be answered.
+    pub(crate) fn started(&self, sent: &Sent) {
+        self.node.state().dispatcher.started(sent);
+    }
+
+    /// Takes note of how the request ended on a worker; `started` if it was being answered.
+    pub(crate) fn release(&self, sent: &Sent, end: End, started: bool) {
         let now = self.node.now();
-        self.node.state().dispatcher.ended(now, sent, end);
+        self.node.state().dispatcher.ended(now, sent, end, started);
     }
 
     /// Takes note that no connection to a worker was made; whether another may be tried.
--- a/crates/cyclamen-gateway/src/front/plain.rs
+++ b/crates/cyclamen-gateway/src/front/plain.rs
@@ -120,7 +120,7 @@
 
 impl Drop for Counted<'_> {
     fn drop(&mut self) {
-        self.job.release(self.sent, self.end);
+        self.job.release(self.sent, self.end, false);
     }
 }
 
--- a/crates/cyclamen-gateway/src/front/send.rs
+++ b/crates/cyclamen-gateway/src/front/send.rs
@@ -29,7 +29,11 @@
     let mut headers = job.headers.clone();
     headers.insert(dialect.deadline_ms, job.left().as_millis().to_string());
     headers.insert(dialect.instance, sent.target.instance.to_string());
-    let urgency = job.priority().min(LEAST_URGENT);
+    let urgency = if job.is_late() {
+        LEAST_URGENT
+    } else {
+        job.priority().min(LEAST_URGENT - 1)
+    };
     headers.insert(dialect.urgency, urgency.to_string());
     if let Some(team) = &job.team {
         headers.insert(dialect.team, team.name.to_string());
--- a/crates/cyclamen-gateway/src/front/stream.rs
+++ b/crates/cyclamen-gateway/src/front/stream.rs
@@ -90,6 +90,8 @@
     events: Events,
     /// When the last bytes came, or the request was sent.
     heard: Time,
+    /// Whether an event has come.
+    started: bool,
 }
 
 /// Why a worker's stream does not go on.
@@ -124,7 +126,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if let Some(open) = self.open.take() {
-            self.job.release(&open.sent, End::Cancelled);
+            self.job.release(&open.sent, End::Cancelled, open.started);
         }
     }
 }
@@ -178,7 +180,7 @@
         match answered {
             Ok(answer) => self.judge(sent, answer),
             Err(Error::NotSent) => {
-                self.job.release(&sent, End::Failed);
+                self.job.release(&sent, End::Failed, false);
                 tasks::check_target(&self.job.node, &sent.target);
                 if self.job.not_connected(&sent) {
                     return Err(Miss::Unconnected);
@@ -188,8 +190,11 @@
             }
             Err(error) => {
                 let late = matches!(error, Error::TimedOut) && self.job.left().is_zero();
-                self.job
-                    .release(&sent, if late { End::Cancelled } else { End::Failed });
+                self.job.release(
+                    &sent,
+                    if late { End::Cancelled } else { End::Failed },
+                    false,
+                );
                 self.job.tried.push(sent.target.instance.clone());
                 tasks::check_target(&self.job.node, &sent.target);
                 Err(if late {
@@ -215,19 +220,19 @@
     fn judge(&mut self, sent: Sent, answer: Answer) -> Result<Begun, Miss> {
         match judge(&self.job, &answer) {
             Verdict::NotRun => {
-                self.job.release(&sent, End::Shed);
+                self.job.release(&sent, End::Shed, false);
                 tasks::check_target(&self.job.node, &sent.target);
                 self.job.tried.push(sent.target.instance.clone());
                 let refusal = Refusal::not_now("shed", RECONNECT_WAIT);
                 Err(Miss::Again(refusal))
             }
             Verdict::Foreign => {
-                self.job.release(&sent, End::Failed);
+                self.job.release(&sent, End::Failed, false);
                 self.job.tried.push(sent.target.instance.clone());
                 Err(self.failed())
             }
             Verdict::Failed if self.may_resume() => {
-                self.job.release(&sent, End::Failed);
+                self.job.release(&sent, End::Failed, false);
                 self.job.tried.push(sent.target.instance.clone());
                 self.job.may_have_run = true;
                 Err(Miss::Again(Refusal::failed("endpoint_failed")))
@@ -243,6 +248,7 @@
                 self.open = Some(Open {
                     heard: self.job.node.now(),
                     events: Events::default(),
+                    started: false,
                     answer,
                     sent,
                 });
@@ -263,7 +269,7 @@
             };
             match self.read(&mut open).await {
                 Ok(Part::End) => {
-                    self.job.release(&open.sent, End::Whole);
+                    self.job.release(&open.sent, End::Whole, open.started);
                     self.job
                         .end("answered", open.answer.status, Some(&open.sent));
                     return Ok(Part::End);
@@ -284,7 +290,7 @@
         } else {
             End::Failed
         };
-        self.job.release(&open.sent, end);
+        self.job.release(&open.sent, end, open.started);
         let id = &self.job.id;
         let instance = &open.sent.target.instance;
         let silent = self.job.node.now().since(open.heard).as_millis();
@@ -352,6 +358,26 @@
             match or(reading, tick).await {
                 Some(Ok(count)) => {
                     open.heard = self.job.node.now();
+                    if count > 0 && !open.started {
+                        open.started = true;
+                        self.job.started(&open.sent);
+                        log::info!(
+                            "event=first_event id={} instance={} model={} wait_ms={} forecast_ms={} running={} backlog={} tokens={} late={}",
+                            self.job.id,
+                            open.sent.target.instance,
+                            open.sent
+                                .target
+                                .model
+                                .as_ref()
+                                .map_or("none", |m| m.as_str()),
+                            open.heard.since(open.sent.at).as_millis(),
+                            open.sent.forecast.as_millis(),
+                            open.sent.running,
+                            open.sent.backlog,
+                            open.sent.tokens,
+                            self.job.is_late()
+                        );
+                    }
                     let pushed = open.events.push(&buffer[..count]);
                     pushed.map_err(|_| Break::Closed)?;
                     return Ok(count > 0);
@@ -415,7 +441,7 @@
 impl Drop for Sending<'_> {
     fn drop(&mut self) {
         if !self.done {
-            self.relay.job.release(self.sent, End::Cancelled);
+            self.relay.job.release(self.sent, End::Cancelled, false);
         }
     }
 }
--- a/crates/cyclamen-gateway/src/node/beliefs.rs
+++ b/crates/cyclamen-gateway/src/node/beliefs.rs
@@ -6,7 +6,7 @@
 use cyclamen_directory::instance::Status;
 use cyclamen_directory::service::{Cold, Engine, Service};
 use cyclamen_directory::{Entry, Instance};
-use cyclamen_dispatch::Target;
+use cyclamen_dispatch::{Forecast, Target};
 use cyclamen_replica::{Group, Groups, Start, State as GroupState};
 use cyclamen_types::{Time, entry, group, instance};
 
@@ -280,10 +280,11 @@
         serving
             .filter_map(|group| {
                 let head = self.register.get(&group.head()?.id)?;
-                let model = group.model.clone();
+                let model = engine.model(group.model.as_ref()?)?;
                 let target = self.target(now, service, head, group.fence)?;
                 Some(Target {
-                    model,
+                    model: Some(model.name.clone()),
+                    forecast: Some(Forecast::of(engine, model)),
                     slots: engine.slots,
                     ..target
                 })
@@ -320,6 +321,7 @@
             fence,
             service: service.name.clone(),
             model: None,
+            forecast: None,
             address: instance.address,
             zone: instance.zone.clone(),
             slots: instance.slots,
--- a/crates/cyclamen-gateway/src/node/peers.rs
+++ b/crates/cyclamen-gateway/src/node/peers.rs
@@ -12,6 +12,8 @@
     pub(crate) incarnation: entry::Incarnation,
     /// Where it listens for other entries.
     pub(crate) address: SocketAddr,
+    /// Whether it is in the availability zone of this entry.
+    pub(crate) near: bool,
     /// When it was last heard of.
     pub(crate) heard: Option<Time>,
     /// Up to which revision it knows the followed tables.
--- a/crates/cyclamen-gateway/src/settings.rs
+++ b/crates/cyclamen-gateway/src/settings.rs
@@ -49,8 +49,10 @@
     pub follow_wait_ms: u64,
     /// The time for one call to the store, beside what it may hold it.
     pub store_timeout_ms: u64,
-    /// The time between two exchanges of news with each other entry.
+    /// The time between two exchanges of news with each entry of another availability zone.
     pub news_every_ms: u64,
+    /// The time between two exchanges of news with each entry of the own availability zone.
+    pub near_news_every_ms: u64,
     /// Another entry that was not heard of for this long is taken as gone.
     pub peer_silence_ms: u64,
     /// The time between two looks at the groups of own domains.
@@ -73,6 +75,7 @@
             follow_wait_ms: 2_000,
             store_timeout_ms: 700,
             news_every_ms: 250,
+            near_news_every_ms: 60,
             peer_silence_ms: 1_200,
             plan_every_ms: 100,
             stall_ms: 220,
@@ -179,6 +182,11 @@
                 timing.peer_silence_ms < 2 * timing.news_every_ms,
             ),
             ("timing.news_every_ms", "is zero", timing.news_every_ms == 0),
+            (
+                "timing.near_news_every_ms",
+                "is zero",
+                timing.near_news_every_ms == 0,
+            ),
             ("timing.plan_every_ms", "is zero", timing.plan_every_ms == 0),
             (
                 "timing.drain_limit_ms",
--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -48,6 +48,7 @@
         every!(node, OWN_TICK, own::step),
         every!(node, BELIEF_TICK, expire),
         every!(node, span(timing.news_every_ms), news::step),
+        every!(node, span(timing.near_news_every_ms), news::step_near),
         smol::spawn(plan::run(node.clone())),
     ]);
     tasks
--- a/crates/cyclamen-gateway/src/tasks/lease.rs
+++ b/crates/cyclamen-gateway/src/tasks/lease.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cyclamen_cache::Revision;
-use cyclamen_types::entry;
+use cyclamen_types::{entry, zone};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
@@ -18,6 +18,8 @@
     pub(super) incarnation: entry::Incarnation,
     /// Where it listens for other entries.
     pub(super) address: SocketAddr,
+    /// Its availability zone.
+    pub(super) zone: zone::Name,
 }
 
 /// Renews the lease if it is due.
@@ -64,6 +66,7 @@
     let row = Row {
         incarnation: state.me.incarnation,
         address: node.settings.peer_listen,
+        zone: state.zone.clone(),
     };
     let value = serde_json::to_string(&row).unwrap_or_default();
     let key = state.me.entry.as_str().into();
@@ -129,12 +132,15 @@
         let Row {
             incarnation,
             address,
+            zone,
         } = entry;
+        let near = zone == state.zone;
         let peer = state.peers.entry(name.clone()).or_insert_with(|| {
             log::info!("event=peer_found peer={name} address={address}");
             Peer {
                 incarnation,
                 address,
+                near,
                 heard: None,
                 as_of: Revision::default(),
                 calling: false,
--- a/crates/cyclamen-gateway/src/tasks/news.rs
+++ b/crates/cyclamen-gateway/src/tasks/news.rs
@@ -8,7 +8,7 @@
 use cyclamen_types::{Time, entry};
 
 use crate::edge::{Row, Table};
-use crate::node::{FOLLOWED, Node, State};
+use crate::node::{FOLLOWED, Node, Peer, State};
 use crate::settings::span;
 use crate::tasks::check::check_worker;
 
@@ -17,16 +17,27 @@
 /// Strikes that one piece of news carries at most.
 const STRIKE_LIMIT: usize = 64;
 
-/// Exchanges news with every other entry that is not being called.
+/// Exchanges news with every entry of another availability zone.
 pub(super) async fn step(node: &Arc<Node>) {
-    tell_all(node);
+    tell(node, |peer| !peer.near);
 }
 
-/// Starts an exchange of news with every other entry that is not being called.
+/// Exchanges news with every other entry of this availability zone.
+pub(super) async fn step_near(node: &Arc<Node>) {
+    tell(node, |peer| peer.near);
+}
+
+/// Starts an exchange of news with every other entry.
 pub(crate) fn tell_all(node: &Arc<Node>) {
+    tell(node, |_| true);
+}
+
+/// Starts an exchange of news with some entries, unless one is under way.
+fn tell(node: &Arc<Node>, whom: impl Fn(&Peer) -> bool) {
     let names: Vec<entry::Name> = {
         let mut state = node.state();
-        let idle = state.peers.iter_mut().filter(|(_, peer)| !peer.calling);
+        let peers = state.peers.iter_mut();
+        let idle = peers.filter(|(_, peer)| !peer.calling && whom(peer));
         idle.map(|(name, peer)| {
             peer.calling = true;
             name.clone()
@@ -93,6 +104,7 @@
         instance: load.instance,
         fence: load.fence,
         running: load.running,
+        backlog: load.backlog,
     });
     state
         .dispatcher
@@ -141,6 +153,7 @@
                 instance: load.instance,
                 fence: load.fence,
                 running: load.running,
+                backlog: load.backlog,
             })
             .collect(),
         doubts: doubts.collect(),
--- a/crates/cyclamen-peer/schema/peer.capnp
+++ b/crates/cyclamen-peer/schema/peer.capnp
@@ -38,6 +38,8 @@
   instance @0 :Text;
   fence @1 :UInt64;
   running @2 :UInt32;
+  backlog @3 :UInt64;
+  # Prompt tokens of those that have not begun to answer.
 }
 
 struct Doubt {
--- a/crates/cyclamen-peer/src/decode.rs
+++ b/crates/cyclamen-peer/src/decode.rs
@@ -74,6 +74,7 @@
         instance: text(from.get_instance()?)?,
         fence: group::Fence(from.get_fence()),
         running: from.get_running(),
+        backlog: from.get_backlog(),
     })
 }
 
--- a/crates/cyclamen-peer/src/encode.rs
+++ b/crates/cyclamen-peer/src/encode.rs
@@ -59,6 +59,7 @@
     to.set_instance(load.instance.as_str());
     to.set_fence(load.fence.0);
     to.set_running(load.running);
+    to.set_backlog(load.backlog);
 }
 
 fn doubt(mut to: wire::doubt::Builder<'_>, doubt: &Doubt) {
--- a/crates/cyclamen-peer/src/message.rs
+++ b/crates/cyclamen-peer/src/message.rs
@@ -38,6 +38,8 @@
     pub fence: group::Fence,
     /// Requests in progress.
     pub running: u32,
+    /// Prompt tokens of those that have not begun to answer.
+    pub backlog: u64,
 }
 
 /// One start of a worker that does not answer.
--- a/crates/cyclamen-peer/src/peer_capnp.rs
+++ b/crates/cyclamen-peer/src/peer_capnp.rs
@@ -1535,11 +1535,15 @@
         pub fn get_running(self) -> u32 {
             self.reader.get_data_field::<u32>(2)
         }
+        #[inline]
+        pub fn get_backlog(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1621,6 +1625,14 @@
         pub fn set_running(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(2, value);
         }
+        #[inline]
+        pub fn get_backlog(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_backlog(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1632,44 +1644,51 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(244, 98, 127, 239, 85, 53, 227, 228),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 76, 111, 97, 100, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -1695,12 +1714,21 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 99, 107, 108, 111, 103, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1714,9 +1742,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,0,2];
         pub(crate) const TYPE_ID: u64 = 0xe4e3_3555_ef7f_62f4;
     }
 }
--- a/crates/cyclamen-replica/src/planner.rs
+++ b/crates/cyclamen-replica/src/planner.rs
@@ -28,6 +28,9 @@
     pub load_window: Duration,
     /// Loads of weights that may begin in a window while groups serve.
     pub loads: usize,
+    /// The time for which the list of the domain's workers has to stay the same before the
+    /// first group is formed.
+    pub settle: Duration,
     /// The time that a spare has to get ready for its model by joining a group of its own.
     pub warming: Duration,
 }
@@ -39,6 +42,7 @@
             begin: Duration::from_millis(2_500),
             load_window: Duration::from_secs(5),
             loads: 4,
+            settle: Duration::from_millis(700),
             warming: Duration::from_secs(4),
         }
     }
@@ -103,6 +107,8 @@
     loads: Vec<Time>,
     /// Spares that join a group of their own, so that they return to its model at once later.
     warming: BTreeMap<group::Id, Time>,
+    /// How many workers were listed, and since when.
+    listed: Option<(usize, Time)>,
 }
 
 impl Planner {
@@ -119,6 +125,7 @@
             passed_over: BTreeMap::new(),
             loads: Vec::new(),
             warming: BTreeMap::new(),
+            listed: None,
         }
     }
 
@@ -132,6 +139,9 @@
         self.follow_standing(scene, &groups, &mut orders);
         self.leaving
             .retain(|(id, fence), _| groups.get(id, *fence).is_some());
+        if !self.is_settled(scene, &groups) {
+            return Vec::new();
+        }
         let mut free = self.free(scene, &groups);
         let standing = self.standing(scene, &groups);
         self.form_groups(scene, &standing, &mut free, &mut orders);
@@ -144,9 +154,16 @@
         orders
     }
 
-    /// Whether a group is being formed or has a member to replace at present.
-    pub fn is_busy(&self) -> bool {
-        !self.forming.is_empty() || !self.leaving.is_empty()
+    /// Whether the list is not being filled for the first time any more.
+    fn is_settled(&mut self, scene: &Scene<'_>, groups: &Groups) -> bool {
+        let count = scene.workers.len();
+        let since = match self.listed {
+            Some((last, since)) if last >= count => since,
+            _ => scene.now,
+        };
+        self.listed = Some((count, since));
+        let some_groups = groups.iter().next().is_some() || !self.forming.is_empty();
+        some_groups || scene.now.since(since) >= self.options.settle
     }
 
     fn remember_models(&mut self, scene: &Scene<'_>) {
--- a/crates/cyclamen-replica/src/planner/spares.rs
+++ b/crates/cyclamen-replica/src/planner/spares.rs
@@ -13,6 +13,32 @@
 use crate::planner::forming::{Distance, spares_of};
 use crate::planner::{Planner, Scene, Worker};
 
+/// Members of a group that are lost in a second, for each member.
+const LOSS_RATE: f64 = 0.004;
+/// How much more a spare has to be worth for another model before it changes.
+const CHANGE_GAIN: f64 = 2.0;
+
+/// What the `count`th spare of a model is worth: the capacity that would be
+/// missing while a replacement loads, times the chance that so many members
+/// are lost in that time.
+fn worth(model: &Model, groups: usize, count: usize) -> f64 {
+    let load = model.load.as_secs_f64();
+    let members = (groups.max(1) * model.size) as f64;
+    let expected = members * LOSS_RATE * load;
+    model.size as f64 * load * chance_of_at_least(count, expected)
+}
+
+/// The chance of `count` or more events where `expected` are expected.
+fn chance_of_at_least(count: usize, expected: f64) -> f64 {
+    let mut term = (-expected).exp();
+    let mut fewer = 0.0;
+    for events in 1..=count {
+        fewer += term;
+        term *= expected / events as f64;
+    }
+    (1.0 - fewer).max(0.0)
+}
+
 impl Planner {
     /// Has free workers load weights: first what a missing group lacks, then spares.
     pub(super) fn prepare_spares(
@@ -36,26 +62,54 @@
             }
         }
         self.warm(scene, &mut idle, orders);
-        idle.retain(|w| w.instance.staged.is_empty());
-        while let Some(worker) = idle.first() {
-            let id = worker.instance.id.clone();
-            let next = scene.engine.models.iter().min_by(|a, b| {
-                let cover = |m: &Model| {
-                    let held = spares.get(&m.name).copied().unwrap_or(0);
-                    let members = standing.get(&m.name).copied().unwrap_or(0).max(1) * m.size;
-                    (held + self.staging(scene, m)) as f64 / members as f64
-                };
-                cover(a).total_cmp(&cover(b)).then(b.size.cmp(&a.size))
-            });
-            let Some(model) = next else {
-                return;
-            };
+        for model in &scene.engine.models {
+            *spares.entry(model.name.clone()).or_default() += self.staging(scene, model);
+        }
+        while let Some((worker, model)) = self.next_spare(scene, standing, &spares, &idle) {
+            for held in &worker.instance.staged {
+                let held = spares.entry(held.clone()).or_default();
+                *held = held.saturating_sub(1);
+            }
             *spares.entry(model.name.clone()).or_default() += 1;
-            self.stage(scene, model, &mut idle, orders);
-            idle.retain(|w| w.instance.id != id);
+            idle.retain(|w| w.instance.id != worker.instance.id);
+            self.stage(scene, model, &mut vec![worker], orders);
         }
     }
 
+    /// The idle worker that should hold the weights of another model, and that model.
+    ///
+    /// Workers that hold none go first. One that holds weights changes only for
+    /// a model that gains much more by it.
+    fn next_spare<'a>(
+        &self,
+        scene: &Scene<'a>,
+        standing: &Mix,
+        spares: &Mix,
+        idle: &[&'a Worker],
+    ) -> Option<(&'a Worker, &'a Model)> {
+        let held = |model: &Model| spares.get(&model.name).copied().unwrap_or(0);
+        let groups = |model: &Model| standing.get(&model.name).copied().unwrap_or(0);
+        let gain = |model: &Model| worth(model, groups(model), held(model) + 1);
+        let models = scene.engine.models.iter();
+        let best = models.max_by(|a, b| gain(a).total_cmp(&gain(b)))?;
+        let empty = idle.iter().find(|w| w.instance.staged.is_empty());
+        if let Some(worker) = empty {
+            return Some((worker, best));
+        }
+        let held_models = |w: &Worker| {
+            let staged = w.instance.staged.iter();
+            let models = staged.filter_map(|name| scene.engine.model(name));
+            let losses = models.map(|model| worth(model, groups(model), held(model)));
+            losses.fold(0.0, f64::max)
+        };
+        let worker = idle
+            .iter()
+            .filter(|w| !w.instance.staged.contains(&best.name))
+            .min_by(|a, b| held_models(a).total_cmp(&held_models(b)))?;
+        let enough = gain(best) > CHANGE_GAIN * held_models(worker);
+        enough.then_some((worker, best))
+    }
+
     /// Has spares that hold weights join groups of their own.
     ///
     /// A worker whose last group had a model joins the next one of that model in
