--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -43,7 +43,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            home_bonus: 0.3,
+            home_bonus: 0.6,
             peer_memory: Duration::from_secs(1),
             plain_time: Duration::from_millis(25),
             wait_share: 1.0,
--- a/crates/cyclamen-replica/src/planner.rs
+++ b/crates/cyclamen-replica/src/planner.rs
@@ -186,14 +186,12 @@
         self.warming.retain(|_, at| scene.now.since(*at) < warming);
     }
 
-    /// Opens groups that are ready and gives up those that cannot serve any more.
+    /// Closes groups that lose a member soon and gives up those that cannot serve any more.
     fn follow_standing(&mut self, scene: &Scene<'_>, groups: &Groups, orders: &mut Vec<Command>) {
         for group in groups.iter() {
             if self.forming.contains_key(&group.id) || self.is_warming(scene, group) {
                 continue;
             }
-            let key = (group.id.clone(), group.fence);
-            let given_up = self.leaving.contains_key(&key);
             let must_end = group.members.values().any(|m| m.status == Status::Leaving);
             match group.state(scene.engine, |m| scene.lost(m)) {
                 State::Joining => {}
@@ -206,11 +204,9 @@
                     }));
                 }
                 State::Serving => {}
-                State::Ready if must_end || given_up => self.give_up(scene, group, orders),
-                State::Ready => {
-                    orders.extend(to_head(group, |group, fence| Order::Open { group, fence }));
-                }
-                State::Partial => self.give_up(scene, group, orders),
+                // A member may still get a late order to join another group that was
+                // to take its place, so a group that is not being formed is not opened.
+                State::Ready | State::Partial => self.give_up(scene, group, orders),
             }
         }
     }
--- /dev/null
+++ b/crates/cyclamen-replica/tests/replica/main.rs
@@ -0,0 +1,8 @@
+//! Which workers form replica groups, and which of them are there.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+mod doubts;
+mod groups;
+mod mixes;
+mod world;
--- /dev/null
+++ b/crates/cyclamen-replica/tests/replica/mixes.rs
@@ -0,0 +1,38 @@
+//! How many groups of each model a fabric domain has.
+
+use cyclamen_replica::{Mix, mix};
+
+use crate::world::engine;
+
+fn counts(large: usize, small: usize) -> Mix {
+    let pairs = [("large", large), ("small", small)];
+    let named = pairs.into_iter().filter(|(_, n)| *n > 0);
+    named.map(|(name, n)| (name.parse().unwrap(), n)).collect()
+}
+
+macro_rules! mixes {
+    ($($name:ident: $workers:expr, $standing:expr, $elsewhere:expr => $wanted:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let (large, small) = $standing;
+                let standing = counts(large, small);
+                let (large, small) = $elsewhere;
+                let elsewhere = counts(large, small);
+                let (large, small) = $wanted;
+                let wanted = mix(&engine(), $workers, &standing, &elsewhere);
+                assert_eq!(wanted, counts(large, small));
+            }
+        )*
+    };
+}
+
+mixes! {
+    a_whole_domain_has_one_group_of_each_and_spares: 8, (0, 0), (0, 0) => (1, 1);
+    first_groups_go_before_spares: 6, (0, 0), (0, 0) => (1, 1);
+    a_small_domain_has_what_fits: 3, (0, 0), (0, 0) => (0, 1);
+    a_lost_group_is_formed_again_from_spares: 4, (0, 1), (0, 0) => (1, 1);
+    spares_are_kept: 2, (1, 1), (0, 0) => (1, 1);
+    more_workers_than_spares_form_another_group: 4, (1, 1), (9, 0) => (1, 2);
+    nothing_comes_of_no_workers: 0, (0, 0), (0, 0) => (0, 0);
+}
