fix: count groups that have just been formed before choosing spares

Cause: spares were chosen against the groups that stood before the plan, so both free workers of a domain loaded the small model, and both changed it later. A test (a_whole_domain_has_a_spare_of_each_model_and_changes_none) failed first.

--- a/crates/cyclamen-gateway/src/tasks/plan.rs
+++ b/crates/cyclamen-gateway/src/tasks/plan.rs
@@ -119,8 +119,9 @@
     };
     node.metrics.ordered(kind, outcome);
     log::info!(
-        "event=order instance={} order={kind} fence={} answer={outcome}",
+        "event=order instance={} order={kind} model={} fence={} answer={outcome}",
         command.instance,
+        command.order.model().map_or("none", |m| m.as_str()),
         fence.unwrap_or_default()
     );
 }
--- a/crates/cyclamen-replica/src/order.rs
+++ b/crates/cyclamen-replica/src/order.rs
@@ -80,6 +80,14 @@
         }
     }
 
+    /// The model that the order is about, if any.
+    pub fn model(&self) -> Option<&model::Name> {
+        match self {
+            Self::Join { model, .. } | Self::Stage { model } => Some(model),
+            Self::Open { .. } | Self::Close { .. } | Self::Leave { .. } => None,
+        }
+    }
+
     /// The fencing number that the order carries, if it is about a membership.
     pub fn fence(&self) -> Option<group::Fence> {
         match self {
--- a/crates/cyclamen-replica/src/planner.rs
+++ b/crates/cyclamen-replica/src/planner.rs
@@ -145,6 +145,7 @@
         let mut free = self.free(scene, &groups);
         let standing = self.standing(scene, &groups);
         self.form_groups(scene, &standing, &mut free, &mut orders);
+        let standing = self.standing(scene, &groups);
         self.prepare_spares(scene, &standing, &free, &mut orders);
         orders.retain(|command| self.is_due(scene.now, command));
         for command in &orders {
--- a/crates/cyclamen-replica/src/planner/spares.rs
+++ b/crates/cyclamen-replica/src/planner/spares.rs
@@ -49,6 +49,7 @@
         orders: &mut Vec<Command>,
     ) {
         let mut spares = spares_of(free);
+        self.count_warming(scene, &mut spares);
         let wanted = mix(scene.engine, free.len(), standing, scene.elsewhere);
         let mut idle: Vec<&Worker> = free.to_vec();
         idle.retain(|w| !self.is_staging(scene, &w.instance.id));
@@ -144,6 +145,17 @@
         idle.retain(|w| !warming.contains(&w.instance.id));
     }
 
+    /// Counts the spares that are getting ready for their model.
+    fn count_warming(&self, scene: &Scene<'_>, spares: &mut Mix) {
+        for worker in scene.workers.iter().filter(|w| w.answers) {
+            let membership = worker.instance.membership.as_ref();
+            let warming = membership.is_some_and(|m| self.warming.contains_key(&m.group));
+            for model in worker.instance.staged.iter().filter(|_| warming) {
+                *spares.entry(model.clone()).or_default() += 1;
+            }
+        }
+    }
+
     /// Whether a group consists of a spare that is getting ready for its model.
     pub(super) fn is_warming(&self, scene: &Scene<'_>, group: &Group) -> bool {
         let joining = |m: &Arc<Instance>| {
--- a/crates/cyclamen-replica/tests/replica/groups.rs
+++ b/crates/cyclamen-replica/tests/replica/groups.rs
@@ -45,6 +45,15 @@
     }
 }
 
+#[test]
+fn a_whole_domain_has_a_spare_of_each_model_and_changes_none() {
+    let mut world = World::new(8);
+    world.run(START + START);
+    let spares: Vec<usize> = world.spares().into_values().collect();
+    assert_eq!(spares, [1, 1]);
+    assert_eq!(world.staged(), 2);
+}
+
 #[test]
 fn a_restarted_worker_is_no_member_of_its_former_group() {
     let mut world = World::new(8);
--- a/crates/cyclamen-replica/tests/replica/world.rs
+++ b/crates/cyclamen-replica/tests/replica/world.rs
@@ -73,6 +73,7 @@
     bodies: BTreeMap<instance::Id, Body>,
     /// Orders that are carried out late.
     late: Vec<(Time, Command)>,
+    stagings: usize,
     /// Whether the next order is lost, late or both answered and carried out.
     pub fate: Fate,
     /// Rules that were broken.
@@ -98,6 +99,7 @@
             fences: 0,
             bodies: BTreeMap::new(),
             late: Vec::new(),
+            stagings: 0,
             fate: Fate::Followed,
             broken: Vec::new(),
             ready: BTreeMap::new(),
@@ -197,6 +199,21 @@
         mix
     }
 
+    /// Workers outside groups, by the model whose weights they hold.
+    pub fn spares(&self) -> Mix {
+        let mut mix = Mix::new();
+        let here = self.bodies.values().filter(|b| b.gone.is_none());
+        for model in here.filter(|b| b.member.is_none()).flat_map(|b| &b.staged) {
+            *mix.entry(model.clone()).or_default() += 1;
+        }
+        mix
+    }
+
+    /// Weights that were loaded so far, beside those of the first groups.
+    pub fn staged(&self) -> usize {
+        self.stagings
+    }
+
     pub fn run(&mut self, time: Duration) {
         let until = self.now + time;
         while self.now < until {
@@ -325,7 +342,10 @@
             Order::Stage { model } => {
                 let due = self.now + self.engine.model(model).unwrap().load;
                 let body = self.bodies.get_mut(&command.instance).unwrap();
-                body.staging.get_or_insert((model.clone(), due));
+                if body.staging.is_none() {
+                    body.staging = Some((model.clone(), due));
+                    self.stagings += 1;
+                }
             }
         }
     }
