--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -7,7 +7,7 @@
 use cyclamen_types::{Time, group, instance, model, pool, zone};
 use rand::Rng;
 
-use crate::allowance::Allowance;
+use crate::allowance::{Allowance, Share};
 use crate::forecast::Forecast;
 
 /// The cost of a worker that has just failed a request, in goals.
@@ -98,8 +98,8 @@
     pub late: bool,
     /// Tokens of its prompt.
     pub tokens: u64,
-    /// The entries that share what is divided.
-    pub entries: usize,
+    /// This entry's place among those that share what is divided.
+    pub share: Share,
 }
 
 /// A request on its way to a worker.
@@ -263,7 +263,7 @@
                 refused.overloaded(wait);
                 continue;
             }
-            if !slot.spares(now, want.entries) {
+            if !slot.spares(now, want.share) {
                 refused.cold = true;
                 continue;
             }
@@ -385,14 +385,21 @@
     }
 
     /// Whether a cold worker bears one more request.
-    fn spares(&mut self, now: Time, entries: usize) -> bool {
+    fn spares(&mut self, now: Time, share: Share) -> bool {
         match self.target.cold {
             Some((until, per_second)) if now < until => {
-                self.allowance.allows(now, per_second, entries)
+                let part = share.part(per_second as usize, self.turn());
+                self.allowance.allows(now, part)
             }
             _ => true,
         }
     }
+
+    /// A number that differs from worker to worker and is the same on every entry.
+    fn turn(&self) -> usize {
+        let bytes = self.target.instance.as_str().bytes();
+        bytes.map(usize::from).sum()
+    }
 }
 
 impl Options {
--- a/crates/cyclamen-dispatch/src/lib.rs
+++ b/crates/cyclamen-dispatch/src/lib.rs
@@ -10,7 +10,7 @@
 mod forecast;
 mod retries;
 
-pub use allowance::Allowance;
+pub use allowance::{Allowance, Share};
 pub use dispatcher::{Dispatcher, End, Load, Options, Reason, Refusal, Sent, Target, Want};
 pub use forecast::Forecast;
 pub use retries::Retries;
--- /dev/null
+++ b/crates/cyclamen-dispatch/tests/dispatch.rs
@@ -0,0 +1,320 @@
+//! Which worker takes a request, under the loads that entries meet.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cyclamen_directory::service::{Engine, Model};
+use cyclamen_dispatch::{
+    Allowance, Dispatcher, End, Forecast, Load, Options, Reason, Retries, Sent, Share, Target, Want,
+};
+use cyclamen_types::{Time, group, instance, model, pool, zone};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const GOAL: Duration = Duration::from_millis(500);
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(1)
+}
+
+fn engine() -> Engine {
+    Engine {
+        slots: 26,
+        memory_tokens: 1_400_000,
+        step: Duration::from_micros(6_070),
+        step_per_request: Duration::from_micros(241),
+        read_per_second: 46_000.0,
+        chunk: 2_048,
+        stride: 5,
+        loads_per_second: 4.0,
+        loads_at_once: 6,
+        open: Duration::from_millis(300),
+        models: vec![Model {
+            name: "large".parse().unwrap(),
+            size: 4,
+            share: 1.0,
+            pace: 1.0,
+            load: Duration::from_secs(16),
+            warm: Duration::from_millis(1_600),
+        }],
+    }
+}
+
+fn head(name: &str, zone: &str) -> Target {
+    let engine = engine();
+    Target {
+        instance: name.parse().unwrap(),
+        incarnation: instance::Incarnation(1),
+        fence: group::Fence(7),
+        service: "llm".parse().unwrap(),
+        model: Some("large".parse().unwrap()),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        slots: engine.slots,
+        cold: None,
+        forecast: Some(Forecast::of(&engine, &engine.models[0])),
+    }
+}
+
+/// What a request looks for, owned.
+struct Seeker {
+    service: pool::Service,
+    model: model::Name,
+    zone: zone::Name,
+    avoid: Vec<instance::Id>,
+    late: bool,
+    tokens: u64,
+}
+
+impl Seeker {
+    fn new() -> Self {
+        Self {
+            service: "llm".parse().unwrap(),
+            model: "large".parse().unwrap(),
+            zone: "a".parse().unwrap(),
+            avoid: Vec::new(),
+            late: false,
+            tokens: 1_400,
+        }
+    }
+
+    fn want(&self) -> Want<'_> {
+        Want {
+            service: &self.service,
+            model: Some(&self.model),
+            zone: &self.zone,
+            avoid: &self.avoid,
+            goal: GOAL,
+            left: Duration::from_secs(8),
+            late: self.late,
+            tokens: self.tokens,
+            share: Share { rank: 0, of: 6 },
+        }
+    }
+}
+
+fn dispatcher(targets: impl IntoIterator<Item = Target>) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(Options::default());
+    dispatcher.refresh(targets);
+    dispatcher
+}
+
+fn choose(dispatcher: &mut Dispatcher, seeker: &Seeker) -> Result<Sent, Reason> {
+    let chosen = dispatcher.choose(at(0), &seeker.want(), &mut rng());
+    chosen.map_err(|refusal| refusal.reason)
+}
+
+#[test]
+fn requests_spread_over_the_heads_of_the_zone() {
+    let mut dispatcher = dispatcher([head("h1", "a"), head("h2", "a"), head("h3", "b")]);
+    let mut counts = BTreeMap::new();
+    for _ in 0..6 {
+        let sent = choose(&mut dispatcher, &Seeker::new()).unwrap();
+        *counts.entry(sent.target.instance.to_string()).or_insert(0) += 1;
+    }
+    assert_eq!(counts["h1"], counts["h2"]);
+}
+
+#[test]
+fn a_busy_zone_sends_to_another() {
+    let mut dispatcher = dispatcher([head("h1", "a"), head("h2", "b")]);
+    let load = Load {
+        instance: "h1".parse().unwrap(),
+        fence: group::Fence(7),
+        running: 10,
+        backlog: 9_000,
+    };
+    dispatcher.note_peer(at(0), "other", [load]);
+    let sent = choose(&mut dispatcher, &Seeker::new()).unwrap();
+    assert_eq!(sent.target.instance.as_str(), "h2");
+}
+
+#[test]
+fn counts_of_a_silent_entry_fade() {
+    let mut dispatcher = dispatcher([head("h1", "a")]);
+    let load = Load {
+        instance: "h1".parse().unwrap(),
+        fence: group::Fence(7),
+        running: 40,
+        backlog: 90_000,
+    };
+    dispatcher.note_peer(at(0), "other", [load]);
+    assert_eq!(
+        choose(&mut dispatcher, &Seeker::new()),
+        Err(Reason::Overloaded)
+    );
+    let later = dispatcher.choose(at(1_500), &Seeker::new().want(), &mut rng());
+    assert!(later.is_ok());
+}
+
+#[test]
+fn a_burst_is_refused_at_once_with_the_time_to_come_back() {
+    let mut dispatcher = dispatcher([head("h1", "a")]);
+    let seeker = Seeker::new();
+    let mut taken = 0;
+    let refusal = loop {
+        match dispatcher.choose(at(0), &seeker.want(), &mut rng()) {
+            Ok(_) => taken += 1,
+            Err(refusal) => break refusal,
+        }
+        assert!(taken < 100, "nothing is refused");
+    };
+    assert_eq!(refusal.reason, Reason::Overloaded);
+    assert!(refusal.retry_after >= Duration::from_millis(200));
+    assert!(taken >= 2);
+}
+
+#[test]
+fn a_prompt_that_has_begun_to_be_answered_is_no_backlog() {
+    let mut dispatcher = dispatcher([head("h1", "a")]);
+    let seeker = Seeker::new();
+    let mut sent = Vec::new();
+    while let Ok(each) = choose(&mut dispatcher, &seeker) {
+        sent.push(each);
+    }
+    for each in &sent {
+        dispatcher.started(each);
+    }
+    assert!(choose(&mut dispatcher, &seeker).is_ok());
+}
+
+#[test]
+fn a_large_prompt_is_not_refused_sooner_than_a_small_one() {
+    let mut dispatcher = dispatcher([head("h1", "a")]);
+    while choose(&mut dispatcher, &Seeker::new()).is_ok() {}
+    let small = Seeker {
+        tokens: 10,
+        ..Seeker::new()
+    };
+    let large = Seeker {
+        tokens: 6_000,
+        ..Seeker::new()
+    };
+    assert_eq!(choose(&mut dispatcher, &small), Err(Reason::Overloaded));
+    assert_eq!(choose(&mut dispatcher, &large), Err(Reason::Overloaded));
+}
+
+#[test]
+fn what_is_late_anyway_waits_longer() {
+    let mut dispatcher = dispatcher([head("h1", "a")]);
+    while choose(&mut dispatcher, &Seeker::new()).is_ok() {}
+    let late = Seeker {
+        late: true,
+        ..Seeker::new()
+    };
+    assert!(choose(&mut dispatcher, &late).is_ok());
+}
+
+#[test]
+fn a_worker_that_failed_is_the_last_choice() {
+    let mut dispatcher = dispatcher([head("h1", "a"), head("h2", "a")]);
+    let first = choose(&mut dispatcher, &Seeker::new()).unwrap();
+    dispatcher.ended(at(0), &first, End::Failed, false);
+    for _ in 0..3 {
+        let next = choose(&mut dispatcher, &Seeker::new()).unwrap();
+        assert_ne!(next.target.instance, first.target.instance);
+    }
+}
+
+#[test]
+fn workers_that_were_tried_are_avoided() {
+    let mut dispatcher = dispatcher([head("h1", "a")]);
+    let avoid = vec!["h1".parse().unwrap()];
+    let seeker = Seeker {
+        avoid,
+        ..Seeker::new()
+    };
+    assert_eq!(choose(&mut dispatcher, &seeker), Err(Reason::NoWorker));
+}
+
+#[test]
+fn a_worker_that_started_again_has_nothing_in_progress() {
+    let mut dispatcher = dispatcher([head("h1", "a")]);
+    let sent = choose(&mut dispatcher, &Seeker::new()).unwrap();
+    let restarted = Target {
+        incarnation: instance::Incarnation(2),
+        ..head("h1", "a")
+    };
+    dispatcher.refresh([restarted]);
+    assert!(dispatcher.loads().is_empty());
+    dispatcher.ended(at(0), &sent, End::Whole, true);
+    assert!(dispatcher.loads().is_empty());
+}
+
+#[test]
+fn a_cold_worker_gets_this_entrys_part() {
+    let cold = Target {
+        cold: Some((at(3_000), 36.0)),
+        ..head("h1", "a")
+    };
+    let mut dispatcher = dispatcher([cold]);
+    let seeker = Seeker {
+        tokens: 1,
+        ..Seeker::new()
+    };
+    let mut sent = 0;
+    while let Ok(each) = choose(&mut dispatcher, &seeker) {
+        dispatcher.ended(at(0), &each, End::Whole, false);
+        sent += 1;
+        assert!(sent <= 6, "more than a sixth of 36 in a second");
+    }
+    assert_eq!(sent, 6);
+    assert_eq!(choose(&mut dispatcher, &seeker), Err(Reason::Cold));
+}
+
+/// However many entries send, whatever they hear, all together keep to the limit.
+#[test]
+fn allowances_of_all_entries_add_up_to_the_limit() {
+    for of in [1, 2, 5, 6, 9, 36, 73, 330] {
+        for turn in [0, 1, 40, 1_000] {
+            let mut sent = 0;
+            for rank in 0..of {
+                let part = Share { rank, of }.part(36, turn);
+                let mut allowance = Allowance::default();
+                while allowance.allows(at(0), part) {
+                    allowance.spend(at(0));
+                    sent += 1;
+                }
+            }
+            assert_eq!(sent, 36, "{of} entries");
+        }
+    }
+}
+
+#[test]
+fn an_allowance_returns_after_a_second() {
+    let mut allowance = Allowance::default();
+    allowance.spend(at(0));
+    assert!(!allowance.allows(at(999), 1));
+    assert!(allowance.allows(at(1_000), 1));
+}
+
+macro_rules! budget {
+    ($($name:ident: $firsts:expr, $entries:expr => $retries:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut retries = Retries::new(Duration::from_secs(10), 0.2, 60.0);
+                for _ in 0..$firsts {
+                    retries.earn(at(0));
+                }
+                let spent = (0..1_000).filter(|_| retries.spend(at(1), $entries)).count();
+                assert_eq!(spent, $retries);
+                assert!(retries.spend(at(10_002), $entries) || $entries > 60);
+            }
+        )*
+    };
+}
+
+budget! {
+    one_entry_has_the_whole_reserve: 0, 1 => 60;
+    six_entries_share_the_reserve: 0, 6 => 10;
+    each_first_attempt_adds_a_fifth: 100, 6 => 30;
+    many_entries_have_no_reserve: 0, 61 => 0;
+}
--- a/crates/cyclamen-gateway/src/front/job.rs
+++ b/crates/cyclamen-gateway/src/front/job.rs
@@ -123,7 +123,7 @@
             left: self.deadline.since(now),
             late: waited >= self.route.goal,
             tokens: self.tokens,
-            entries: state.peers.len() + 1,
+            share: state.share(),
         };
         let chosen = state.dispatcher.choose(now, &want, &mut state.rng);
         chosen.map_err(|refusal| Refusal::not_now(refusal.reason.as_str(), refusal.retry_after))
@@ -177,7 +177,7 @@
         }
         let now = self.node.now();
         let mut state = self.node.state();
-        let entries = state.entries();
+        let entries = state.share().of;
         let granted = state.retries(&self.service.name).spend(now, entries);
         drop(state);
         if granted {
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -5,7 +5,7 @@
 
 use cyclamen_cache::{Cache, Revision};
 use cyclamen_directory::{Catalog, Register};
-use cyclamen_dispatch::{Dispatcher, Retries};
+use cyclamen_dispatch::{Dispatcher, Retries, Share};
 use cyclamen_domain::Owner;
 use cyclamen_lease::Holder;
 use cyclamen_replica::Doubts;
@@ -101,8 +101,12 @@
         })
     }
 
-    /// The entries that share what is divided, this one included.
-    pub(crate) fn entries(&self) -> usize {
-        self.peers.len() + 1
+    /// This entry's place among those that share what is divided.
+    pub(crate) fn share(&self) -> Share {
+        let before = self.peers.keys().filter(|name| **name < self.me.entry);
+        Share {
+            rank: before.count(),
+            of: self.peers.len() + 1,
+        }
     }
 }
