feat: cells, watchers and gathered changes for large fleets

Change: an entry sends first to the fabric domains of its cell and hears often from that cell only; domains are watched by three entries each; others get news by chance; checks are bounded; changes of the list gather for 60 ms.

--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -1,10 +1,10 @@
 //! The workers that take requests, and the choice among them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cyclamen_types::{Time, group, instance, model, pool, zone};
+use cyclamen_types::{Time, domain, group, instance, model, pool, zone};
 use rand::Rng;
 
 use crate::allowance::{Allowance, Share};
@@ -24,7 +24,9 @@
 pub struct Options {
     /// How much longer the wait on a worker of this zone may be than on one of another, in
     /// parts of the request's goal.
-    pub home_bonus: f64,
+    pub zone_bonus: f64,
+    /// The same for a worker of this entry's cell, against others of the zone.
+    pub cell_bonus: f64,
     /// How long the counts of another entry hold without news.
     pub peer_memory: Duration,
     /// The time that a worker of a plain service takes for as many requests as it has slots.
@@ -43,7 +45,8 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            home_bonus: 0.6,
+            zone_bonus: 0.6,
+            cell_bonus: 0.3,
             peer_memory: Duration::from_secs(1),
             plain_time: Duration::from_millis(25),
             wait_share: 1.0,
@@ -71,6 +74,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: zone::Name,
+    /// Its fabric domain, if it has one.
+    pub domain: Option<domain::Name>,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Until when it is cold, and what it bears in a second until then.
@@ -88,6 +93,8 @@
     pub model: Option<&'a model::Name>,
     /// The zone of this entry.
     pub zone: &'a zone::Name,
+    /// The fabric domains of this entry's cell.
+    pub domains: &'a BTreeSet<domain::Name>,
     /// Workers that the request was sent to before.
     pub avoid: &'a [instance::Id],
     /// The time within which an answer should begin.
@@ -420,8 +427,18 @@
     /// What it costs to have a worker run the request; the least is best.
     fn cost(&self, now: Time, want: &Want<'_>, slot: &Slot, wait: Duration) -> f64 {
         let goal = want.goal.as_secs_f64().max(0.001);
-        let home = slot.target.zone == *want.zone;
-        let away = if home { 0.0 } else { self.home_bonus };
+        let target = &slot.target;
+        let in_cell = target
+            .domain
+            .as_ref()
+            .is_none_or(|d| want.domains.contains(d));
+        let away = if target.zone != *want.zone {
+            self.zone_bonus
+        } else if in_cell {
+            0.0
+        } else {
+            self.cell_bonus
+        };
         let failed = slot.failed.is_some_and(|at| now.since(at) < self.penalty);
         let fault = if failed { FAULT_COST } else { 0.0 };
         wait.as_secs_f64() / goal + away + fault
--- a/crates/cyclamen-dispatch/src/lib.rs
+++ b/crates/cyclamen-dispatch/src/lib.rs
@@ -6,11 +6,13 @@
 //! the work of cold workers, is divided into fixed parts.
 
 mod allowance;
+mod cell;
 mod dispatcher;
 mod forecast;
 mod retries;
 
 pub use allowance::{Allowance, Share};
+pub use cell::{Cell, cell};
 pub use dispatcher::{Dispatcher, End, Load, Options, Reason, Refusal, Sent, Target, Want};
 pub use forecast::Forecast;
 pub use retries::Retries;
--- a/crates/cyclamen-dispatch/tests/dispatch.rs
+++ b/crates/cyclamen-dispatch/tests/dispatch.rs
@@ -2,14 +2,15 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use cyclamen_directory::service::{Engine, Model};
 use cyclamen_dispatch::{
-    Allowance, Dispatcher, End, Forecast, Load, Options, Reason, Retries, Sent, Share, Target, Want,
+    Allowance, Cell, Dispatcher, End, Forecast, Load, Options, Reason, Retries, Sent, Share,
+    Target, Want, cell,
 };
-use cyclamen_types::{Time, group, instance, model, pool, zone};
+use cyclamen_types::{Time, domain, entry, group, instance, model, pool, zone};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -56,6 +57,7 @@
         model: Some("large".parse().unwrap()),
         address: "127.0.0.1:9".parse().unwrap(),
         zone: zone.parse().unwrap(),
+        domain: Some("d0".parse().unwrap()),
         slots: engine.slots,
         cold: None,
         forecast: Some(Forecast::of(&engine, &engine.models[0])),
@@ -67,6 +69,7 @@
     service: pool::Service,
     model: model::Name,
     zone: zone::Name,
+    domains: BTreeSet<domain::Name>,
     avoid: Vec<instance::Id>,
     late: bool,
     tokens: u64,
@@ -78,6 +81,7 @@
             service: "llm".parse().unwrap(),
             model: "large".parse().unwrap(),
             zone: "a".parse().unwrap(),
+            domains: ["d0".parse().unwrap()].into(),
             avoid: Vec::new(),
             late: false,
             tokens: 1_400,
@@ -89,6 +93,7 @@
             service: &self.service,
             model: Some(&self.model),
             zone: &self.zone,
+            domains: &self.domains,
             avoid: &self.avoid,
             goal: GOAL,
             left: Duration::from_secs(8),
@@ -318,3 +323,52 @@
     each_first_attempt_adds_a_fifth: 100, 6 => 30;
     many_entries_have_no_reserve: 0, 61 => 0;
 }
+
+fn names<T: std::str::FromStr<Err: std::fmt::Debug> + Ord>(
+    prefix: &str,
+    count: usize,
+) -> BTreeSet<T> {
+    let name = |n| format!("{prefix}{n:03}").parse().unwrap();
+    (0..count).map(name).collect()
+}
+
+/// The cells of all entries of a zone.
+fn cells(entries: usize, domains: usize) -> Vec<(entry::Name, Cell)> {
+    let entries: BTreeSet<entry::Name> = names("e", entries);
+    let domains: BTreeSet<domain::Name> = names("d", domains);
+    let cell_of = |me: &entry::Name| (me.clone(), cell(me, &entries, &domains));
+    entries.iter().map(cell_of).collect()
+}
+
+macro_rules! divided {
+    ($($name:ident: $entries:expr, $domains:expr => $largest:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let cells = cells($entries, $domains);
+                let largest = cells.iter().map(|(_, c)| c.entries.len() + 1).max();
+                assert_eq!(largest, Some($largest));
+                let covered: BTreeSet<&domain::Name> =
+                    cells.iter().flat_map(|(_, c)| &c.domains).collect();
+                assert_eq!(covered.len(), $domains);
+                for (me, mine) in &cells {
+                    assert!($domains == 0 || !mine.domains.is_empty());
+                    for other in &mine.entries {
+                        let theirs = &cells.iter().find(|(name, _)| name == other).unwrap().1;
+                        assert!(theirs.entries.contains(me));
+                        assert_eq!(theirs.domains, mine.domains);
+                    }
+                }
+            }
+        )*
+    };
+}
+
+divided! {
+    a_small_zone_is_one_cell: 3, 2 => 3;
+    one_entry_has_all_domains: 1, 3 => 1;
+    a_larger_zone_has_cells_of_eight_at_most: 16, 3 => 8;
+    there_are_no_more_cells_than_domains: 25, 3 => 9;
+    a_zone_without_domains_is_one_cell: 25, 0 => 25;
+    a_zone_of_the_size_to_come: 33, 69 => 7;
+}
--- a/crates/cyclamen-gateway/src/front/job.rs
+++ b/crates/cyclamen-gateway/src/front/job.rs
@@ -118,6 +118,7 @@
             service: &self.service.name,
             model: self.model.as_ref(),
             zone: &state.zone,
+            domains: &state.cell.domains,
             avoid: &self.tried,
             goal: self.route.goal,
             left: self.deadline.since(now),
--- a/crates/cyclamen-gateway/src/node/beliefs.rs
+++ b/crates/cyclamen-gateway/src/node/beliefs.rs
@@ -250,6 +250,7 @@
             }
         }
         self.dispatcher.refresh(targets);
+        self.arrange_cell();
     }
 
     /// The replica groups of a service, as its listed workers show them.
@@ -324,6 +325,7 @@
             forecast: None,
             address: instance.address,
             zone: instance.zone.clone(),
+            domain: instance.domain.clone(),
             slots: instance.slots,
             cold: cold.map(|Cold { per_second, .. }| (now + left, per_second)),
         })
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -5,7 +5,7 @@
 
 use cyclamen_cache::{Cache, Revision};
 use cyclamen_directory::{Catalog, Register};
-use cyclamen_dispatch::{Dispatcher, Retries, Share};
+use cyclamen_dispatch::{Cell, Dispatcher, Retries, Share, cell};
 use cyclamen_domain::Owner;
 use cyclamen_lease::Holder;
 use cyclamen_replica::Doubts;
@@ -34,6 +34,8 @@
     /// Up to which revision each followed table is known.
     pub(crate) positions: BTreeMap<Table, Revision>,
     pub(crate) peers: BTreeMap<entry::Name, Peer>,
+    /// The entries and fabric domains that this entry works with first.
+    pub(crate) cell: Cell,
     pub(crate) lease: Holder,
     pub(crate) lease_revision: Option<Revision>,
     pub(crate) ownership: Ownership,
@@ -70,6 +72,7 @@
             rows: Cache::default(),
             positions: BTreeMap::new(),
             peers: BTreeMap::new(),
+            cell: Cell::default(),
             lease: Holder::new(lease),
             lease_revision: None,
             ownership: Ownership::new(lease),
@@ -101,6 +104,19 @@
         })
     }
 
+    /// Works out which entries and fabric domains this entry works with first.
+    pub(crate) fn arrange_cell(&mut self) {
+        let near = self.peers.iter().filter(|(_, peer)| peer.near);
+        let mut entries: BTreeSet<entry::Name> = near.map(|(name, _)| name.clone()).collect();
+        entries.insert(self.me.entry.clone());
+        let here = self.register.entries().map(|entry| &entry.instance);
+        let here = here.filter(|instance| instance.zone == self.zone);
+        let domains = here
+            .filter_map(|instance| instance.domain.clone())
+            .collect();
+        self.cell = cell(&self.me.entry, &entries, &domains);
+    }
+
     /// This entry's place among those that share what is divided.
     pub(crate) fn share(&self) -> Share {
         let before = self.peers.keys().filter(|name| **name < self.me.entry);
--- a/crates/cyclamen-gateway/src/tasks/check.rs
+++ b/crates/cyclamen-gateway/src/tasks/check.rs
@@ -16,6 +16,8 @@
 const QUESTIONS: u32 = 2;
 /// The least time between two checks of one group.
 const CHECK_EVERY: Duration = Duration::from_millis(250);
+/// Checks of groups that an entry makes in a second.
+const CHECKS_PER_SECOND: usize = 8;
 
 /// Asks every member of the group whose head a worker is.
 ///
@@ -33,6 +35,12 @@
         if last.is_some_and(|at| now.since(*at) < CHECK_EVERY) {
             return;
         }
+        state
+            .checked
+            .retain(|_, at| now.since(*at) < Duration::from_secs(1));
+        if state.checked.len() >= CHECKS_PER_SECOND {
+            return;
+        }
         state.checked.insert(id.clone(), now);
         let group = state.group_of_head(id);
         group.map_or_else(Vec::new, |g| g.members.into_values().collect())
--- a/crates/cyclamen-gateway/src/tasks/follow.rs
+++ b/crates/cyclamen-gateway/src/tasks/follow.rs
@@ -3,14 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cyclamen_replica::Planner;
 use smol::Timer;
 
-use crate::edge::{Error, Followed, Table};
+use crate::edge::{Error, Followed, Snapshot, Table};
 use crate::node::{FOLLOWED, Node};
 use crate::settings::span;
 
 /// The pause after a failed call; it doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// The time in which changes gather at the store, where no group of an own domain changes.
+const GATHER: Duration = Duration::from_millis(60);
 /// The longest pause between two tries.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
@@ -83,15 +86,14 @@
     node.metrics.called_store("follow", answer.is_ok());
     match answer? {
         Followed::Changed(snapshot) => {
-            let now = node.now();
             let some = !snapshot.rows.is_empty();
-            let mut state = node.state();
-            state.take_rows(now, node.platform.as_ref(), snapshot.rows);
-            state.note_position(table, snapshot.as_of);
-            drop(state);
+            let busy = take(node, table, snapshot);
             if some {
                 node.wake_planner();
             }
+            if some && !busy {
+                Timer::after(GATHER).await;
+            }
             Ok(true)
         }
         Followed::Forgotten => {
@@ -100,3 +102,13 @@
         }
     }
 }
+
+/// Takes changed rows; whether a group of an own domain is on its way in or out.
+fn take(node: &Arc<Node>, table: Table, changed: Snapshot) -> bool {
+    let now = node.now();
+    let mut state = node.state();
+    state.take_rows(now, node.platform.as_ref(), changed.rows);
+    state.note_position(table, changed.as_of);
+    let mut planners = state.ownership.planners.values();
+    planners.any(Planner::is_busy)
+}
--- a/crates/cyclamen-gateway/src/tasks/lease.rs
+++ b/crates/cyclamen-gateway/src/tasks/lease.rs
@@ -149,6 +149,7 @@
         peer.address = address;
     }
     state.peers.retain(|name, _| listed.contains(name));
+    state.arrange_cell();
 }
 
 pub(super) fn parse(value: Option<&str>) -> Option<Row> {
--- a/crates/cyclamen-gateway/src/tasks/news.rs
+++ b/crates/cyclamen-gateway/src/tasks/news.rs
@@ -1,43 +1,96 @@
 //! Exchanges news with other entries.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use cyclamen_cache::{Delta, Revision};
 use cyclamen_peer::{Doubt, News};
 use cyclamen_replica::Start;
 use cyclamen_types::{Time, entry};
+use rand::seq::IteratorRandom;
 
 use crate::edge::{Row, Table};
-use crate::node::{FOLLOWED, Node, Peer, State};
+use crate::node::{FOLLOWED, Node, State};
 use crate::settings::span;
 use crate::tasks::check::check_worker;
+use crate::tasks::own;
 
+/// The most other entries with which each exchanges news with all.
+const SMALL_FLEET: usize = 8;
+/// Entries of a large fleet that get news by chance in each round.
+const CHANCE_PARTNERS: usize = 2;
+/// Entries of the cell that get news in each round.
+const NEAR_PARTNERS: usize = 2;
+/// Rounds without news after which an entry calls one that should have called.
+const SILENT_ROUNDS: u32 = 6;
 /// Rows that one piece of news carries at most.
 const ROW_LIMIT: usize = 256;
 /// Strikes that one piece of news carries at most.
 const STRIKE_LIMIT: usize = 64;
 
-/// Exchanges news with every entry of another availability zone.
+/// Exchanges news with entries outside the cell: all of them in a small fleet, otherwise
+/// those that watch the same fabric domains and some by chance.
 pub(super) async fn step(node: &Arc<Node>) {
-    tell(node, |peer| !peer.near);
+    let partners = {
+        let mut guard = node.state();
+        let state = &mut *guard;
+        let outside = state
+            .peers
+            .keys()
+            .filter(|n| !state.cell.entries.contains(*n));
+        if state.peers.len() <= SMALL_FLEET {
+            outside.cloned().collect()
+        } else {
+            let chosen = outside.choose_multiple(&mut state.rng, CHANCE_PARTNERS);
+            let mut partners: BTreeSet<entry::Name> = chosen.into_iter().cloned().collect();
+            partners.extend(own::fellow_watchers(state));
+            partners
+        }
+    };
+    tell(node, partners);
 }
 
-/// Exchanges news with every other entry of this availability zone.
+/// Exchanges news with the other entries of the cell.
+///
+/// Of two entries the one whose name comes first calls, unless it is silent.
+/// The larger the cell, the fewer at a time.
 pub(super) async fn step_near(node: &Arc<Node>) {
-    tell(node, |peer| peer.near);
+    let partners = {
+        let mut guard = node.state();
+        let state = &mut *guard;
+        let now = node.now();
+        let me = &state.me.entry;
+        let silence = span(node.settings.timing.near_news_every_ms) * SILENT_ROUNDS;
+        let to_call = state.cell.entries.iter().filter(|name| {
+            let heard = state.peers.get(*name).and_then(|peer| peer.heard);
+            me < *name || heard.is_none_or(|at| now.since(at) >= silence)
+        });
+        let chosen = to_call.choose_multiple(&mut state.rng, NEAR_PARTNERS);
+        chosen.into_iter().cloned().collect()
+    };
+    tell(node, partners);
 }
 
-/// Starts an exchange of news with every other entry.
+/// Starts an exchange of news with every entry that is to learn at once what has changed.
 pub(crate) fn tell_all(node: &Arc<Node>) {
-    tell(node, |_| true);
+    let partners = {
+        let state = node.state();
+        if state.peers.len() <= SMALL_FLEET {
+            state.peers.keys().cloned().collect()
+        } else {
+            let cell = state.cell.entries.iter().cloned();
+            cell.chain(own::fellow_watchers(&state)).collect()
+        }
+    };
+    tell(node, partners);
 }
 
 /// Starts an exchange of news with some entries, unless one is under way.
-fn tell(node: &Arc<Node>, whom: impl Fn(&Peer) -> bool) {
+fn tell(node: &Arc<Node>, partners: BTreeSet<entry::Name>) {
     let names: Vec<entry::Name> = {
         let mut state = node.state();
         let peers = state.peers.iter_mut();
-        let idle = peers.filter(|(_, peer)| !peer.calling && whom(peer));
+        let idle = peers.filter(|(name, peer)| !peer.calling && partners.contains(*name));
         idle.map(|(name, peer)| {
             peer.calling = true;
             name.clone()
--- a/crates/cyclamen-gateway/src/tasks/own.rs
+++ b/crates/cyclamen-gateway/src/tasks/own.rs
@@ -16,6 +16,10 @@
 use crate::settings::span;
 use crate::tasks::lease;
 
+/// Entries that watch a domain in a large fleet.
+const WATCHERS: usize = 3;
+/// The most other entries in a fleet in which all watch all domains.
+const WATCHED_BY_ALL: usize = 8;
 /// The least time between two reads of the rows of entries and domains.
 const READ_EVERY: Duration = Duration::from_millis(500);
 /// Fencing numbers that one owner may use for each revision of the store.
@@ -72,35 +76,68 @@
     Some(wanted)
 }
 
-/// The domains that this entry should take over.
+/// The domains that this entry should take over: those without a live owner for which it
+/// comes before all other live watchers.
 fn wanted(state: &State, now: Time, silence: Duration) -> Vec<domain::Name> {
-    let names: BTreeSet<domain::Name> = state
-        .register
-        .entries()
-        .filter(|entry| {
-            let service = state.catalog.service(&entry.instance.service);
-            service.is_some_and(|s| s.engine.is_some())
-        })
-        .filter_map(|entry| entry.instance.domain.clone())
-        .collect();
-    let alive = |heard: Option<Time>| heard.is_some_and(|at| now.since(at) < silence);
-    let peers = state.peers.iter().filter(|(_, peer)| alive(peer.heard));
-    let mut candidates: Vec<entry::Name> = peers.map(|(name, _)| name.clone()).collect();
-    candidates.push(state.me.entry.clone());
-    let responsible = rendezvous::balanced(names, candidates.iter().cloned());
-    responsible
-        .into_iter()
-        .filter(|(_, entry)| *entry == state.me.entry)
-        .map(|(name, _)| name)
-        .filter(|name| !state.ownership.planners.contains_key(name))
+    let alive = |name: &entry::Name| {
+        let heard = state.peers.get(name).and_then(|peer| peer.heard);
+        *name == state.me.entry || heard.is_some_and(|at| now.since(at) < silence)
+    };
+    let unowned = domains(state).into_iter().filter(|name| {
+        let holding = state.ownership.holdings.get(name);
+        let owned = holding.is_some_and(|holding| {
+            alive(&holding.owner.entry) && !is_former_start(state, &holding.owner)
+        });
+        !owned && !state.ownership.planners.contains_key(name)
+    });
+    unowned
         .filter(|name| {
-            let holding = state.ownership.holdings.get(name);
-            !holding.is_some_and(|h| h.owner != state.me && candidates.contains(&h.owner.entry))
-                || holding.is_some_and(|h| is_former_start(state, &h.owner))
+            let watchers = watchers(state, name);
+            watchers.iter().find(|entry| alive(entry)) == Some(&state.me.entry)
         })
         .collect()
 }
 
+/// The fabric domains whose workers keep replica groups.
+fn domains(state: &State) -> BTreeSet<domain::Name> {
+    let entries = state.register.entries().filter(|entry| {
+        let service = state.catalog.service(&entry.instance.service);
+        service.is_some_and(|s| s.engine.is_some())
+    });
+    let domains = entries.filter_map(|entry| entry.instance.domain.clone());
+    domains.collect()
+}
+
+/// The entries that look after a domain, the first one as its owner.
+///
+/// They exchange news, so that each knows whether those before it are there.
+fn watchers(state: &State, domain: &domain::Name) -> Vec<entry::Name> {
+    let mut all: Vec<&entry::Name> = state.peers.keys().collect();
+    all.push(&state.me.entry);
+    let ranked = rendezvous::ranked(domain, all);
+    let count = if state.peers.len() <= WATCHED_BY_ALL {
+        ranked.len()
+    } else {
+        WATCHERS
+    };
+    ranked.into_iter().take(count).cloned().collect()
+}
+
+/// The other entries that watch the domains which this one watches.
+pub(super) fn fellow_watchers(state: &State) -> BTreeSet<entry::Name> {
+    let mut fellows = BTreeSet::new();
+    for domain in domains(state) {
+        let watchers = watchers(state, &domain);
+        if watchers.contains(&state.me.entry) {
+            fellows.extend(watchers);
+            let holding = state.ownership.holdings.get(&domain);
+            fellows.extend(holding.map(|h| h.owner.entry.clone()));
+        }
+    }
+    fellows.remove(&state.me.entry);
+    fellows
+}
+
 /// Whether an owner is an earlier start of an entry that is known to have started again.
 fn is_former_start(state: &State, owner: &Owner) -> bool {
     if owner.entry == state.me.entry {
--- a/crates/cyclamen-replica/src/planner.rs
+++ b/crates/cyclamen-replica/src/planner.rs
@@ -155,6 +155,11 @@
         orders
     }
 
+    /// Whether a group is on its way in or out at present.
+    pub fn is_busy(&self) -> bool {
+        !self.forming.is_empty() || !self.leaving.is_empty()
+    }
+
     /// Whether the list is not being filled for the first time any more.
     fn is_settled(&mut self, scene: &Scene<'_>, groups: &Groups) -> bool {
         let count = scene.workers.len();
--- a/crates/cyclamen-route/src/rendezvous.rs
+++ b/crates/cyclamen-route/src/rendezvous.rs
@@ -18,6 +18,16 @@
         .max_by_key(|candidate| score(&key, candidate))
 }
 
+/// All candidates by their score for `key`, the highest first.
+pub fn ranked<'a, T: Display>(
+    key: impl Display,
+    candidates: impl IntoIterator<Item = &'a T>,
+) -> Vec<&'a T> {
+    let mut ranked: Vec<&T> = candidates.into_iter().collect();
+    ranked.sort_by_cached_key(|candidate| std::cmp::Reverse(score(&key, candidate)));
+    ranked
+}
+
 /// Who is responsible for each key, with no one responsible for more than its part.
 ///
 /// Keys are taken in order; each goes to the candidate with the highest score
