feat: fewer calls to the store and rows by news only for entries that lag

Change: changes gather longer the more entries there are; entries without a domain renew each 10 s; the operators' revision is told apart; rows of instances go only to an entry that has learnt nothing for a second.

--- a/crates/cyclamen-entry/src/tasks/gossip.rs
+++ b/crates/cyclamen-entry/src/tasks/gossip.rs
@@ -81,6 +81,7 @@
     News {
         sender: state.me.clone(),
         as_of,
+        operators_as_of: as_of,
         summaries: summaries(&state),
         strikes: state.suspects.strikes().take(NOTICE_LIMIT).collect(),
         delta: delta.unwrap_or_default(),
--- a/crates/cyclamen-gateway/src/node/beliefs.rs
+++ b/crates/cyclamen-gateway/src/node/beliefs.rs
@@ -70,13 +70,9 @@
         *position = as_of.max(*position);
     }
 
-    /// The revision up to which every followed table is known.
-    pub(crate) fn as_of(&self) -> Revision {
-        let known = FOLLOWED.iter().map(|table| self.positions.get(table));
-        known
-            .map(|position| position.copied().unwrap_or_default())
-            .min()
-            .unwrap_or_default()
+    /// The revision up to which a followed table is known.
+    pub(crate) fn as_of(&self, table: Table) -> Revision {
+        self.positions.get(&table).copied().unwrap_or_default()
     }
 
     /// Takes one row unless a newer one is known; whether it changes anything.
--- a/crates/cyclamen-gateway/src/node/duties.rs
+++ b/crates/cyclamen-gateway/src/node/duties.rs
@@ -23,6 +23,10 @@
     pub(crate) planners: BTreeMap<domain::Name, Planner>,
     /// The leases of other entries.
     pub(crate) observer: Observer<Owner>,
+    /// Whether there are domains to take over, for which a lease is needed.
+    pub(crate) wanting: bool,
+    /// When the lease was last renewed.
+    pub(crate) renewed: Option<Time>,
     /// When the rows were last read.
     pub(crate) read: Option<Time>,
 }
@@ -33,6 +37,8 @@
             holdings: BTreeMap::new(),
             planners: BTreeMap::new(),
             observer: Observer::new(lease),
+            wanting: false,
+            renewed: None,
             read: None,
         }
     }
--- a/crates/cyclamen-gateway/src/settings.rs
+++ b/crates/cyclamen-gateway/src/settings.rs
@@ -72,7 +72,7 @@
         Self {
             lease_ms: 3_000,
             renew_every_ms: 1_000,
-            follow_wait_ms: 2_000,
+            follow_wait_ms: 4_000,
             store_timeout_ms: 700,
             news_every_ms: 250,
             near_news_every_ms: 60,
--- a/crates/cyclamen-gateway/src/tasks/follow.rs
+++ b/crates/cyclamen-gateway/src/tasks/follow.rs
@@ -12,8 +12,11 @@
 
 /// The pause after a failed call; it doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-/// The time in which changes gather at the store, where no group of an own domain changes.
-const GATHER: Duration = Duration::from_millis(60);
+/// The time in which changes of instances gather at the store for each entry that follows
+/// them, where no group of an own domain changes.
+const GATHER: Duration = Duration::from_millis(8);
+/// The longest time in which changes gather.
+const LONGEST_GATHER: Duration = Duration::from_millis(600);
 /// The longest pause between two tries.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
@@ -92,7 +95,7 @@
                 node.wake_planner();
             }
             if some && !busy {
-                Timer::after(GATHER).await;
+                Timer::after(gather(node, table)).await;
             }
             Ok(true)
         }
@@ -103,6 +106,18 @@
     }
 }
 
+/// The time in which changes gather; the more entries ask the store, the longer.
+fn gather(node: &Arc<Node>, table: Table) -> Duration {
+    match table {
+        Table::Instances => {
+            let entries = node.state().share().of;
+            let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+            GATHER.saturating_mul(entries).min(LONGEST_GATHER)
+        }
+        Table::Operators | Table::Entries | Table::Domains => Duration::ZERO,
+    }
+}
+
 /// Takes changed rows; whether a group of an own domain is on its way in or out.
 fn take(node: &Arc<Node>, table: Table, changed: Snapshot) -> bool {
     let now = node.now();
--- a/crates/cyclamen-gateway/src/tasks/lease.rs
+++ b/crates/cyclamen-gateway/src/tasks/lease.rs
@@ -2,14 +2,18 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cyclamen_cache::Revision;
-use cyclamen_types::{entry, zone};
+use cyclamen_types::{Time, entry, zone};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 use crate::edge::{Commit, Error, Snapshot, Table, Transaction};
-use crate::node::{Node, Peer};
+use crate::node::{Node, Peer, State};
+
+/// The time between two renewals of an entry that looks after no domain.
+const IDLE_RENEWAL: Duration = Duration::from_secs(10);
 
 /// The row of an entry; writing it again renews its lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,7 +31,7 @@
     let now = node.now();
     let renewal = {
         let mut state = node.state();
-        if state.draining {
+        if state.draining || !is_due(&state, now) {
             return;
         }
         state.lease.renew(now)
@@ -52,6 +56,7 @@
             let held = state.lease.holds(now);
             state.lease_revision = Some(revision);
             state.lease.renewed(renewal);
+            state.ownership.renewed = Some(now);
             if !held {
                 log::info!("event=lease_obtained revision={revision}");
             }
@@ -61,6 +66,15 @@
     }
 }
 
+/// Whether the lease is to be renewed as soon as it is old enough.
+///
+/// An entry that looks after no domain needs its row only to be found by others.
+fn is_due(state: &State, now: Time) -> bool {
+    let idle = state.ownership.planners.is_empty() && !state.ownership.wanting;
+    let renewed = state.ownership.renewed;
+    !idle || renewed.is_none_or(|at| now.since(at) >= IDLE_RENEWAL)
+}
+
 fn own_row(node: &Node) -> (Arc<str>, Arc<str>, Revision) {
     let state = node.state();
     let row = Row {
@@ -111,11 +125,11 @@
     let answer = node.platform.read(Table::Entries).await;
     node.metrics.called_store("read", answer.is_ok());
     let snapshot = answer?;
-    note_peers(node, &snapshot);
+    note_peers(node, node.now(), &snapshot);
     Ok(snapshot)
 }
 
-fn note_peers(node: &Node, snapshot: &Snapshot) {
+fn note_peers(node: &Node, now: Time, snapshot: &Snapshot) {
     let mut state = node.state();
     let me = state.me.entry.clone();
     let mut listed = Vec::new();
@@ -142,7 +156,8 @@
                 address,
                 near,
                 heard: None,
-                as_of: Revision::default(),
+                as_of: (Revision::default(), now),
+                operators_as_of: Revision::default(),
                 calling: false,
             }
         });
--- a/crates/cyclamen-gateway/src/tasks/news.rs
+++ b/crates/cyclamen-gateway/src/tasks/news.rs
@@ -2,15 +2,16 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
-use cyclamen_cache::{Delta, Revision};
+use cyclamen_cache::Delta;
 use cyclamen_peer::{Doubt, News};
 use cyclamen_replica::Start;
 use cyclamen_types::{Time, entry};
 use rand::seq::IteratorRandom;
 
 use crate::edge::{Row, Table};
-use crate::node::{FOLLOWED, Node, State};
+use crate::node::{FOLLOWED, Node, Peer, State};
 use crate::settings::span;
 use crate::tasks::check::check_worker;
 use crate::tasks::own;
@@ -23,6 +24,8 @@
 const NEAR_PARTNERS: usize = 2;
 /// Rounds without news after which an entry calls one that should have called.
 const SILENT_ROUNDS: u32 = 6;
+/// The time without progress after which an entry is told of instances by others.
+const LAG: Duration = Duration::from_secs(1);
 /// Rows that one piece of news carries at most.
 const ROW_LIMIT: usize = 256;
 /// Strikes that one piece of news carries at most.
@@ -108,7 +111,7 @@
         let Some(peer) = state.peers.get(&name) else {
             return;
         };
-        (peer.address, news(&state, Some(peer.as_of)))
+        (peer.address, news(&state, node.now(), peer))
     };
     let answer = match node.peers() {
         Some(peers) => peers.gossip(address, news).await,
@@ -135,9 +138,13 @@
 /// Takes the news of another entry and gives own ones.
 pub(crate) fn answer(node: &Arc<Node>, received: News) -> News {
     let now = node.now();
-    let as_of = received.as_of;
+    let sender = received.sender.entry.clone();
     take(node, now, received);
-    news(&node.state(), Some(as_of))
+    let state = node.state();
+    match state.peers.get(&sender) {
+        Some(peer) => news(&state, now, peer),
+        None => news_without_rows(&state),
+    }
 }
 
 fn take(node: &Arc<Node>, now: Time, news: News) {
@@ -147,7 +154,10 @@
     }
     if let Some(peer) = state.peers.get_mut(&news.sender.entry) {
         peer.heard = Some(now);
-        peer.as_of = news.as_of;
+        if peer.as_of.0 != news.as_of {
+            peer.as_of = (news.as_of, now);
+        }
+        peer.operators_as_of = news.operators_as_of;
         peer.incarnation = news.sender.incarnation;
     } else {
         // The entry is new; its address is in its row.
@@ -182,14 +192,37 @@
     }
 }
 
-/// This entry's news, with the rows changed since a revision.
-fn news(state: &State, since: Option<Revision>) -> News {
-    let as_of = state.as_of();
-    let delta = since
-        .filter(|since| *since < as_of)
-        .map(|since| state.rows.changes_since(since));
-    let mut delta = delta.unwrap_or_default();
+/// This entry's news for another one, with rows that it lacks.
+///
+/// Entries learn of instances from the store at about the same time; only one
+/// that has learnt nothing for a while gets such rows.
+fn news(state: &State, now: Time, peer: &Peer) -> News {
+    let (as_of, since) = peer.as_of;
+    let instances = state.as_of(Table::Instances);
+    let lags = as_of < instances && now.since(since) >= LAG;
+    let prefix = |table: Table| format!("{}/", table.as_str());
+    let (operators, listed) = (prefix(Table::Operators), prefix(Table::Instances));
+    let newer = |row: &cyclamen_cache::Row| {
+        let key = &row.key.0;
+        let operators = key.starts_with(&operators) && row.revision > peer.operators_as_of;
+        let instances = lags && key.starts_with(&listed) && row.revision > as_of;
+        operators || instances
+    };
+    let oldest = if lags {
+        as_of.min(peer.operators_as_of)
+    } else {
+        peer.operators_as_of
+    };
+    let mut delta = state.rows.changes_since(oldest);
+    delta.rows.retain(newer);
     delta.rows.truncate(ROW_LIMIT);
+    News {
+        delta,
+        ..news_without_rows(state)
+    }
+}
+
+fn news_without_rows(state: &State) -> News {
     let doubts = state.doubts.own().map(|start| Doubt {
         instance: start.instance.clone(),
         incarnation: start.incarnation,
@@ -197,10 +230,11 @@
     let loads = state.dispatcher.loads().into_iter();
     News {
         sender: state.me.clone(),
-        as_of,
+        as_of: state.as_of(Table::Instances),
+        operators_as_of: state.as_of(Table::Operators),
         summaries: Vec::new(),
         strikes: state.suspects.strikes().take(STRIKE_LIMIT).collect(),
-        delta: Delta { as_of, ..delta },
+        delta: Delta::default(),
         loads: loads
             .map(|load| cyclamen_peer::Load {
                 instance: load.instance,
--- a/crates/cyclamen-gateway/src/tasks/own.rs
+++ b/crates/cyclamen-gateway/src/tasks/own.rs
@@ -62,11 +62,18 @@
 fn due(node: &Node) -> Option<Vec<domain::Name>> {
     let now = node.now();
     let mut state = node.state();
-    if state.draining || !state.lease.holds(now) {
+    if state.draining {
         return None;
     }
     let silence = span(node.settings.timing.peer_silence_ms);
     let wanted = wanted(&state, now, silence);
+    state.ownership.wanting = !wanted.is_empty();
+    // Without a lease the rows are only read once, to learn of the other entries.
+    let wanted = if state.lease.holds(now) {
+        wanted
+    } else {
+        Vec::new()
+    };
     let last = state.ownership.read;
     let recent = last.is_some_and(|at| now.since(at) < READ_EVERY);
     if recent || (wanted.is_empty() && last.is_some()) {
--- a/crates/cyclamen-peer/schema/peer.capnp
+++ b/crates/cyclamen-peer/schema/peer.capnp
@@ -58,6 +58,8 @@
   # Requests of the sender in progress on each worker.
   doubts @6 :List(Doubt);
   # Workers that do not answer the sender.
+  operatorsAsOf @7 :UInt64;
+  # The revision up to which the sender knows what operators wrote.
 }
 
 struct Ask {
--- a/crates/cyclamen-peer/src/decode.rs
+++ b/crates/cyclamen-peer/src/decode.rs
@@ -89,6 +89,7 @@
     Ok(News {
         sender: owner(from.get_sender()?)?,
         as_of: Revision(from.get_as_of()),
+        operators_as_of: Revision(from.get_operators_as_of()),
         summaries: from
             .get_summaries()?
             .iter()
--- a/crates/cyclamen-peer/src/encode.rs
+++ b/crates/cyclamen-peer/src/encode.rs
@@ -70,6 +70,7 @@
 pub(crate) fn news(mut to: wire::news::Builder<'_>, news: &News) {
     owner(to.reborrow().init_sender(), &news.sender);
     to.set_as_of(news.as_of.0);
+    to.set_operators_as_of(news.operators_as_of.0);
     let mut summaries = to.reborrow().init_summaries(count(news.summaries.len()));
     for (i, each) in (0..).zip(&news.summaries) {
         notice(summaries.reborrow().get(i), each);
--- a/crates/cyclamen-peer/src/message.rs
+++ b/crates/cyclamen-peer/src/message.rs
@@ -17,6 +17,8 @@
     pub sender: Owner,
     /// The revision up to which its cache is complete.
     pub as_of: Revision,
+    /// The revision up to which it knows what operators wrote.
+    pub operators_as_of: Revision,
     /// The pools in domains that it owns, and some that it heard of.
     pub summaries: Vec<Notice>,
     /// The strikes that it knows of.
--- a/crates/cyclamen-peer/src/peer_capnp.rs
+++ b/crates/cyclamen-peer/src/peer_capnp.rs
@@ -2099,11 +2099,15 @@
         pub fn has_doubts(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
+        #[inline]
+        pub fn get_operators_as_of(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2257,6 +2261,14 @@
         pub fn has_doubts(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
+        #[inline]
+        pub fn get_operators_as_of(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_operators_as_of(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2274,72 +2286,79 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 138] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 154] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(52, 153, 207, 91, 50, 249, 244, 177),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
             ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 78, 101, 119, 115, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(238, 160, 2, 162, 185, 8, 188, 205),
@@ -2413,6 +2432,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 112, 101, 114, 97, 116, 111, 114),
+            ::capnp::word(115, 65, 115, 79, 102, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2423,6 +2451,7 @@
                 4 => <crate::peer_capnp::delta::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::peer_capnp::load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::struct_list::Owned<crate::peer_capnp::doubt::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2436,9 +2465,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,6,5,0,3,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,6,5,7,0,3,2];
         pub(crate) const TYPE_ID: u64 = 0xb1f4_f932_5bcf_9934;
     }
 }
