--- a/crates/cyclamen-dispatch/tests/dispatch.rs
+++ b/crates/cyclamen-dispatch/tests/dispatch.rs
@@ -306,7 +306,8 @@
             #[test]
             fn $name() {
                 let mut retries = Retries::new(Duration::from_secs(10), 0.2, 60.0);
-                for _ in 0..$firsts {
+                let firsts: u32 = $firsts;
+                for _ in 0..firsts {
                     retries.earn(at(0));
                 }
                 let spent = (0..1_000).filter(|_| retries.spend(at(1), $entries)).count();
--- a/crates/cyclamen-gateway/src/front/stream.rs
+++ b/crates/cyclamen-gateway/src/front/stream.rs
@@ -134,22 +134,20 @@
 impl Relay {
     /// The head of the answer, once its first event is there.
     async fn begin(&mut self) -> Result<Begun, Refusal> {
-        loop {
-            let mut answer_head = self.connect().await?;
-            let part = self.next().await;
-            match part {
-                Ok(part) => {
-                    let now = self.job.node.now();
-                    let wait = now.since(self.job.arrived);
-                    let service = self.job.service_name().as_str();
-                    self.job.node.metrics.first_byte(service, wait);
-                    answer_head.part = part;
-                    return Ok(answer_head);
-                }
-                Err(_) if self.job.left().is_zero() => return Err(Refusal::late()),
-                Err(_) => return Err(Refusal::failed("endpoint_failed")),
-            }
-        }
+        let mut head = self.connect().await?;
+        let Ok(part) = self.next().await else {
+            return Err(if self.job.left().is_zero() {
+                Refusal::late()
+            } else {
+                Refusal::failed("endpoint_failed")
+            });
+        };
+        let now = self.job.node.now();
+        let wait = now.since(self.job.arrived);
+        let service = self.job.service_name().as_str();
+        self.job.node.metrics.first_byte(service, wait);
+        head.part = part;
+        Ok(head)
     }
 
     /// Sends the request to workers until one begins to answer.
--- a/crates/cyclamen-gateway/src/node/beliefs.rs
+++ b/crates/cyclamen-gateway/src/node/beliefs.rs
@@ -1,6 +1,7 @@
 //! What rows and news change in this entry's beliefs.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cyclamen_cache::{Key, Revision};
 use cyclamen_directory::instance::Status;
@@ -13,6 +14,10 @@
 use crate::edge::{Platform, Record, Row, Snapshot, Subject, Table};
 use crate::node::State;
 
+/// Revisions of the list of instances whose times are kept.
+const REACHED_LIMIT: usize = 64;
+/// The time after which other entries should know of a change of the list by themselves.
+const SETTLED: Duration = Duration::from_secs(1);
 /// The tables that every entry follows, and tells others of.
 pub(crate) const FOLLOWED: [Table; 2] = [Table::Operators, Table::Instances];
 
@@ -61,13 +66,28 @@
             .collect();
         self.take_rows(now, platform, snapshot.rows);
         self.take_rows(now, platform, gone);
-        self.note_position(table, snapshot.as_of);
+        self.note_position(now, table, snapshot.as_of);
     }
 
     /// Takes note that a table is known up to a revision.
-    pub(crate) fn note_position(&mut self, table: Table, as_of: Revision) {
+    pub(crate) fn note_position(&mut self, now: Time, table: Table, as_of: Revision) {
         let position = self.positions.entry(table).or_default();
         *position = as_of.max(*position);
+        if table == Table::Instances {
+            self.reached.push_back((now, *position));
+            while self.reached.len() > REACHED_LIMIT {
+                self.reached.pop_front();
+            }
+        }
+    }
+
+    /// The revision of the list of instances that this entry knew a while ago.
+    pub(crate) fn settled(&self, now: Time) -> Revision {
+        let old = self.reached.iter().rev();
+        let mut old = old.filter(|(at, _)| now.since(*at) >= SETTLED);
+        old.next()
+            .map(|(_, revision)| *revision)
+            .unwrap_or_default()
     }
 
     /// The revision up to which a followed table is known.
--- a/crates/cyclamen-gateway/src/node/peers.rs
+++ b/crates/cyclamen-gateway/src/node/peers.rs
@@ -16,9 +16,9 @@
     pub(crate) near: bool,
     /// When it was last heard of.
     pub(crate) heard: Option<Time>,
-    /// Up to which revision it knows the list of instances, and since when.
-    pub(crate) as_of: (Revision, Time),
-    /// Up to which revision it knows what operators wrote.
+    /// Up to which revision it knew the list of instances when it was last heard of.
+    pub(crate) as_of: Revision,
+    /// Up to which revision it knew what operators wrote.
     pub(crate) operators_as_of: Revision,
     /// Whether a call to it is under way.
     pub(crate) calling: bool,
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -1,6 +1,6 @@
 //! The state of the node.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use cyclamen_cache::{Cache, Revision};
@@ -33,6 +33,8 @@
     pub(crate) rows: Cache,
     /// Up to which revision each followed table is known.
     pub(crate) positions: BTreeMap<Table, Revision>,
+    /// When each revision of the list of instances was reached, the oldest first.
+    pub(crate) reached: VecDeque<(Time, Revision)>,
     pub(crate) peers: BTreeMap<entry::Name, Peer>,
     /// The entries and fabric domains that this entry works with first.
     pub(crate) cell: Cell,
@@ -71,6 +73,7 @@
             doubts: Doubts::default(),
             rows: Cache::default(),
             positions: BTreeMap::new(),
+            reached: VecDeque::new(),
             peers: BTreeMap::new(),
             cell: Cell::default(),
             lease: Holder::new(lease),
--- a/crates/cyclamen-gateway/src/run.rs
+++ b/crates/cyclamen-gateway/src/run.rs
@@ -124,7 +124,7 @@
         let late = async {
             Timer::after(DRAIN_TICK).await;
         };
-        smol::future::or(async { closing.await }, late).await;
+        smol::future::or(closing, late).await;
         let left = self.node.state().in_progress;
         for other in self.others {
             other.shut_down();
--- a/crates/cyclamen-gateway/src/tasks/follow.rs
+++ b/crates/cyclamen-gateway/src/tasks/follow.rs
@@ -16,7 +16,7 @@
 /// them, where no group of an own domain changes.
 const GATHER: Duration = Duration::from_millis(8);
 /// The longest time in which changes gather.
-const LONGEST_GATHER: Duration = Duration::from_millis(600);
+const LONGEST_GATHER: Duration = Duration::from_millis(900);
 /// The longest pause between two tries.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
@@ -123,7 +123,7 @@
     let now = node.now();
     let mut state = node.state();
     state.take_rows(now, node.platform.as_ref(), changed.rows);
-    state.note_position(table, changed.as_of);
+    state.note_position(now, table, changed.as_of);
     let mut planners = state.ownership.planners.values();
     planners.any(Planner::is_busy)
 }
--- a/crates/cyclamen-gateway/src/tasks/lease.rs
+++ b/crates/cyclamen-gateway/src/tasks/lease.rs
@@ -125,11 +125,11 @@
     let answer = node.platform.read(Table::Entries).await;
     node.metrics.called_store("read", answer.is_ok());
     let snapshot = answer?;
-    note_peers(node, node.now(), &snapshot);
+    note_peers(node, &snapshot);
     Ok(snapshot)
 }
 
-fn note_peers(node: &Node, now: Time, snapshot: &Snapshot) {
+fn note_peers(node: &Node, snapshot: &Snapshot) {
     let mut state = node.state();
     let me = state.me.entry.clone();
     let mut listed = Vec::new();
@@ -156,7 +156,7 @@
                 address,
                 near,
                 heard: None,
-                as_of: (Revision::default(), now),
+                as_of: Revision::default(),
                 operators_as_of: Revision::default(),
                 calling: false,
             }
--- a/crates/cyclamen-gateway/src/tasks/news.rs
+++ b/crates/cyclamen-gateway/src/tasks/news.rs
@@ -24,8 +24,8 @@
 const NEAR_PARTNERS: usize = 2;
 /// Rounds without news after which an entry calls one that should have called.
 const SILENT_ROUNDS: u32 = 6;
-/// The time without progress after which an entry is told of instances by others.
-const LAG: Duration = Duration::from_secs(1);
+/// The age up to which it is known what another entry knows.
+const FRESH: Duration = Duration::from_millis(400);
 /// Rows that one piece of news carries at most.
 const ROW_LIMIT: usize = 256;
 /// Strikes that one piece of news carries at most.
@@ -154,9 +154,7 @@
     }
     if let Some(peer) = state.peers.get_mut(&news.sender.entry) {
         peer.heard = Some(now);
-        if peer.as_of.0 != news.as_of {
-            peer.as_of = (news.as_of, now);
-        }
+        peer.as_of = news.as_of;
         peer.operators_as_of = news.operators_as_of;
         peer.incarnation = news.sender.incarnation;
     } else {
@@ -192,29 +190,29 @@
     }
 }
 
-/// This entry's news for another one, with rows that it lacks.
+/// This entry's news for another one, with rows that it lacks by its own last news.
 ///
-/// Entries learn of instances from the store at about the same time; only one
-/// that has learnt nothing for a while gets such rows.
+/// Entries learn of instances from the store at about the same time; only rows
+/// that the other one should have known for a while are told.
 fn news(state: &State, now: Time, peer: &Peer) -> News {
-    let (as_of, since) = peer.as_of;
-    let instances = state.as_of(Table::Instances);
-    let lags = as_of < instances && now.since(since) >= LAG;
+    let fresh = peer.heard.is_some_and(|at| now.since(at) < FRESH);
+    if !fresh {
+        return news_without_rows(state);
+    }
+    let settled = state.settled(now);
     let prefix = |table: Table| format!("{}/", table.as_str());
     let (operators, listed) = (prefix(Table::Operators), prefix(Table::Instances));
-    let newer = |row: &cyclamen_cache::Row| {
-        let key = &row.key.0;
-        let operators = key.starts_with(&operators) && row.revision > peer.operators_as_of;
-        let instances = lags && key.starts_with(&listed) && row.revision > as_of;
-        operators || instances
-    };
-    let oldest = if lags {
-        as_of.min(peer.operators_as_of)
-    } else {
-        peer.operators_as_of
+    let lacks = |row: &cyclamen_cache::Row| {
+        let known = if row.key.0.starts_with(&operators) {
+            row.revision <= peer.operators_as_of
+        } else {
+            !row.key.0.starts_with(&listed) || row.revision <= peer.as_of || row.revision > settled
+        };
+        !known
     };
+    let oldest = peer.as_of.min(peer.operators_as_of);
     let mut delta = state.rows.changes_since(oldest);
-    delta.rows.retain(newer);
+    delta.rows.retain(lacks);
     delta.rows.truncate(ROW_LIMIT);
     News {
         delta,
--- a/crates/cyclamen-relay/src/events.rs
+++ b/crates/cyclamen-relay/src/events.rs
@@ -92,7 +92,7 @@
 
 fn id_of(event: &[u8]) -> Option<u64> {
     let lines = event.split(|b| matches!(b, b'\n' | b'\r'));
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let text = std::str::from_utf8(ids.last()?).ok()?;
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let text = std::str::from_utf8(ids.next_back()?).ok()?;
     text.trim().parse().ok()
 }
--- a/crates/cyclamenpath/src/command/check.rs
+++ b/crates/cyclamenpath/src/command/check.rs
@@ -24,8 +24,12 @@
     Ok(settings)
 }
 
-pub(crate) fn run(path: &Path) -> eyre::Result<()> {
-    let settings = read(path, Settings::faults)?;
-    println!("{}: well", settings.name);
+pub(crate) fn run(path: &Path, gateway: bool) -> eyre::Result<()> {
+    let name = if gateway {
+        read(path, cyclamen_gateway::Settings::faults)?.name
+    } else {
+        read(path, Settings::faults)?.name
+    };
+    println!("{name}: well");
     Ok(())
 }
--- a/crates/cyclamenpath/src/command/schema.rs
+++ b/crates/cyclamenpath/src/command/schema.rs
@@ -9,6 +9,7 @@
 pub(crate) fn run(of: Schema) -> eyre::Result<()> {
     let schema = match of {
         Schema::Settings => schema_for!(Settings),
+        Schema::Gateway => schema_for!(cyclamen_gateway::Settings),
         Schema::Routes => schema_for!(Routes),
         Schema::Pools => schema_for!(Pools),
     };
--- a/crates/cyclamenpath/src/lib.rs
+++ b/crates/cyclamenpath/src/lib.rs
@@ -5,6 +5,8 @@
 mod operator;
 mod options;
 
+pub mod output;
+
 use clap::Parser;
 
 use options::{Arguments, Command};
@@ -12,11 +14,11 @@
 /// Runs the command that the arguments of the process name.
 pub fn run() -> eyre::Result<()> {
     let arguments = Arguments::parse();
-    line::start(arguments.log)?;
+    line::start(arguments.log, arguments.command.is_server())?;
     match arguments.command {
         Command::Entry { settings } => command::entry::run(&settings),
         Command::Gateway { settings } => command::gateway::run(&settings),
-        Command::Check { settings } => command::check::run(&settings),
+        Command::Check { settings, gateway } => command::check::run(&settings, gateway),
         Command::Schema { of } => command::schema::run(of),
         Command::Routes { action } => command::table::run("routes", action),
         Command::Pools { action } => command::table::run("pools", action),
--- a/crates/cyclamenpath/src/line.rs
+++ b/crates/cyclamenpath/src/line.rs
@@ -3,8 +3,10 @@
 use log::{LevelFilter, Log, Metadata, Record};
 use simplelog::{ConfigBuilder, SharedLogger, WriteLogger, format_description};
 
+use crate::output::Output;
+
 /// A logger that writes the level as a pair, like everything else.
-struct Pairs(Box<WriteLogger<std::io::Stderr>>);
+struct Pairs(Box<WriteLogger<Output>>);
 
 impl Log for Pairs {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
@@ -27,8 +29,12 @@
     }
 }
 
-/// Writes events of a level and above to the standard error.
-pub(crate) fn start(level: LevelFilter) -> eyre::Result<()> {
+/// Targets whose lines are no pairs; what they tell is logged by their users as well.
+const FOREIGN_TARGET: &str = "trillium";
+
+/// Writes events of a level and above: those of a server to the standard output, those of a
+/// command, whose answer goes there, to the standard error.
+pub(crate) fn start(level: LevelFilter, server: bool) -> eyre::Result<()> {
     let time = format_description!(
         "time=[year]-[month]-[day]T[hour]:[minute]:[second].[subsecond digits:3]Z"
     );
@@ -38,8 +44,14 @@
         .set_target_level(LevelFilter::Off)
         .set_thread_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
+        .add_filter_ignore_str(FOREIGN_TARGET)
         .build();
-    let logger = WriteLogger::new(level, config, std::io::stderr());
+    let output = if server {
+        Output::start(std::io::stdout())?
+    } else {
+        Output::start(std::io::stderr())?
+    };
+    let logger = WriteLogger::new(level, config, output);
     log::set_max_level(logger.level());
     log::set_boxed_logger(Box::new(Pairs(logger)))?;
     Ok(())
--- a/crates/cyclamenpath/src/options.rs
+++ b/crates/cyclamenpath/src/options.rs
@@ -38,6 +38,9 @@
         /// The settings file.
         #[arg(long)]
         settings: PathBuf,
+        /// Whether the file is for the command `gateway`.
+        #[arg(long)]
+        gateway: bool,
     },
     /// Print a JSON schema.
     Schema {
@@ -71,11 +74,20 @@
     },
 }
 
+impl Command {
+    /// Whether the command runs until a signal.
+    pub(crate) fn is_server(&self) -> bool {
+        matches!(self, Self::Entry { .. } | Self::Gateway { .. })
+    }
+}
+
 /// What a schema describes.
 #[derive(Debug, Clone, Copy, ValueEnum)]
 pub(crate) enum Schema {
     /// The settings of an entry instance.
     Settings,
+    /// The settings of a gateway.
+    Gateway,
     /// The routes table.
     Routes,
     /// The pools table.
--- a/crates/cyclamenpath/tests/command_line.rs
+++ b/crates/cyclamenpath/tests/command_line.rs
@@ -62,7 +62,7 @@
 
 #[test]
 fn schemas_are_json() {
-    for of in ["settings", "routes", "pools"] {
+    for of in ["settings", "gateway", "routes", "pools"] {
         let output = cyclamenpath(&["schema", of]);
         let schema: Value = serde_json::from_slice(&output.stdout).unwrap();
         assert_eq!(schema["type"], "object");
--- /dev/null
+++ b/crates/cyclamenpath/tests/gateway_settings.rs
@@ -0,0 +1,64 @@
+//! The settings of a gateway are checked before it starts.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::path::PathBuf;
+use std::process::Command;
+
+use serde_json::{Value, json};
+
+fn settings() -> Value {
+    json!({
+        "name": "entry-1", "zone": "a",
+        "caller_listen": "127.0.0.1:8080", "ready_listen": "127.0.0.1:8081",
+        "peer_listen": "127.0.0.1:8082", "metrics_listen": "127.0.0.1:8083",
+        "peer_secret": "a secret of sixteen", "store": "127.0.0.1:9000",
+    })
+}
+
+fn check(name: &str, settings: &Value) -> (bool, String) {
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("gateway-{name}.json"));
+    std::fs::write(&file, settings.to_string()).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_cyclamenpath"))
+        .args(["check", "--gateway", "--settings", file.to_str().unwrap()])
+        .output()
+        .unwrap();
+    (
+        output.status.success(),
+        String::from_utf8(output.stderr).unwrap(),
+    )
+}
+
+macro_rules! refused {
+    ($($name:ident: $key:expr, $value:expr => $said:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut settings = settings();
+            settings[$key] = $value;
+            let (well, said) = check(stringify!($name), &settings);
+            assert!(!well);
+            assert!(said.contains($said), "{said}");
+            assert!(!said.contains("sixteen"), "a secret is shown");
+        }
+    )*};
+}
+
+refused! {
+    an_unknown_key: "colour", json!("blue") => "unknown field `colour`";
+    a_name_with_a_space: "name", json!("entry 1") => "name";
+    a_listener_without_a_port: "ready_listen", json!("127.0.0.1") => "ready_listen";
+    a_clash_of_addresses: "ready_listen", json!("127.0.0.1:8080") => "ready_listen";
+    a_peer_listener_for_all_addresses: "peer_listen", json!("0.0.0.0:8082") => "peer_listen";
+    a_peer_listener_that_is_taken: "peer_listen", json!("127.0.0.1:8083") => "peer_listen";
+    a_short_secret: "peer_secret", json!("short") => "peer_secret";
+    a_lease_that_cannot_be_kept: "timing", json!({"lease_ms": 1000}) => "timing.lease_ms";
+    no_time_between_plans: "timing", json!({"plan_every_ms": 0}) => "timing.plan_every_ms";
+    a_drain_without_time: "timing", json!({"drain_limit_ms": 1}) => "timing.drain_limit_ms";
+    more_retries_than_requests: "retries", json!({"ratio": 2.0}) => "retries.ratio";
+    no_window_for_retries: "retries", json!({"window_ms": 0}) => "retries.window_ms";
+}
+
+#[test]
+fn good_settings_are_well() {
+    assert!(check("good", &settings()).0);
+}
