--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -146,6 +146,10 @@
     pub reason: Reason,
     /// When to come back.
     pub retry_after: Duration,
+    /// Workers that serve this and were not tried yet.
+    pub workers: usize,
+    /// The least forecast wait among those that are overloaded.
+    pub least_wait: Option<Duration>,
 }
 
 /// The reason of a refusal.
@@ -262,6 +266,7 @@
             if !slot.fits(want) {
                 continue;
             }
+            refused.workers += 1;
             let work = slot
                 .work
                 .plus(peers.get(place).copied().unwrap_or_default());
@@ -448,6 +453,7 @@
 /// Why workers were passed over.
 #[derive(Debug, Default)]
 struct Refused {
+    workers: usize,
     least_wait: Option<Duration>,
     cold: bool,
 }
@@ -466,6 +472,8 @@
         };
         Refusal {
             reason,
+            workers: self.workers,
+            least_wait: self.least_wait,
             retry_after: wait.max(options.least_wait),
         }
     }
--- a/crates/cyclamen-gateway/src/front/job.rs
+++ b/crates/cyclamen-gateway/src/front/job.rs
@@ -14,6 +14,7 @@
 use smol::future::or;
 use trillium::{Conn, Headers, KnownHeaderName, Method};
 
+use crate::edge::Table;
 use crate::front::refusal::Refusal;
 use crate::node::Node;
 
@@ -127,7 +128,22 @@
             share: state.share(),
         };
         let chosen = state.dispatcher.choose(now, &want, &mut state.rng);
-        chosen.map_err(|refusal| Refusal::not_now(refusal.reason.as_str(), refusal.retry_after))
+        chosen.map_err(|refusal| {
+            log::info!(
+                "event=not_dispatched id={} model={} reason={} workers={} least_wait_ms={} \
+                 goal_ms={} late={} list_revision={} retry_after_ms={}",
+                self.id,
+                self.model.as_ref().map_or("none", |m| m.as_str()),
+                refusal.reason.as_str(),
+                refusal.workers,
+                refusal.least_wait.unwrap_or_default().as_millis(),
+                self.route.goal.as_millis(),
+                waited >= self.route.goal,
+                state.as_of(Table::Instances),
+                refusal.retry_after.as_millis()
+            );
+            Refusal::not_now(refusal.reason.as_str(), refusal.retry_after)
+        })
     }
 
     /// The rank of the request; the team's goes before the route's.
