--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -1,14 +1,14 @@
-//! The workers that take requests, and the choice among them.
+//! The choice among the workers that take requests.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cyclamen_types::{Time, domain, group, instance, model, pool, zone};
+use cyclamen_types::{Time, group, instance};
 use rand::Rng;
 
 use crate::allowance::{Allowance, Share};
-use crate::forecast::Forecast;
+use crate::options::Options;
+use crate::request::{End, Load, Reason, Refusal, Sent, Target, Want};
 
 /// The cost of a worker that has just failed a request, in goals.
 const FAULT_COST: f64 = 2.0;
@@ -19,174 +19,6 @@
 /// When to come back to cold workers.
 const COLD_WAIT: Duration = Duration::from_millis(500);
 
-/// Bounds of dispatching.
-#[derive(Debug, Clone, Copy)]
-pub struct Options {
-    /// How much longer the wait on a worker of this zone may be than on one of another, in
-    /// parts of the request's goal.
-    pub zone_bonus: f64,
-    /// The same for a worker of this entry's cell, against others of the zone.
-    pub cell_bonus: f64,
-    /// How long the counts of another entry hold without news.
-    pub peer_memory: Duration,
-    /// The time that a worker of a plain service takes for as many requests as it has slots.
-    pub plain_time: Duration,
-    /// The longest forecast wait for the first part of an answer, in parts of the request's
-    /// goal, before it is refused.
-    pub wait_share: f64,
-    /// The time that an answer takes beside the forecast rounds of its engine.
-    pub overhead: Duration,
-    /// The shortest time after which a refused caller is told to come back.
-    pub least_wait: Duration,
-    /// How long a worker that failed a request is chosen only if there is no other.
-    pub penalty: Duration,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            zone_bonus: 0.6,
-            cell_bonus: 0.3,
-            peer_memory: Duration::from_secs(1),
-            plain_time: Duration::from_millis(25),
-            wait_share: 1.0,
-            overhead: Duration::from_millis(130),
-            least_wait: Duration::from_millis(200),
-            penalty: Duration::from_millis(1_000),
-        }
-    }
-}
-
-/// A worker that takes requests: the head of a replica group, or one of a plain service.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Target {
-    /// The worker.
-    pub instance: instance::Id,
-    /// Its start.
-    pub incarnation: instance::Incarnation,
-    /// The fencing number of its membership; zero for a plain service.
-    pub fence: group::Fence,
-    /// Its service.
-    pub service: pool::Service,
-    /// The model that it serves, if any.
-    pub model: Option<model::Name>,
-    /// Where it takes requests.
-    pub address: SocketAddr,
-    /// Its availability zone.
-    pub zone: zone::Name,
-    /// Its fabric domain, if it has one.
-    pub domain: Option<domain::Name>,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Until when it is cold, and what it bears in a second until then.
-    pub cold: Option<(Time, f64)>,
-    /// How fast it works, if it runs a model.
-    pub forecast: Option<Forecast>,
-}
-
-/// A request that looks for a worker.
-#[derive(Debug, Clone)]
-pub struct Want<'a> {
-    /// The service.
-    pub service: &'a pool::Service,
-    /// The model, if the service runs models.
-    pub model: Option<&'a model::Name>,
-    /// The zone of this entry.
-    pub zone: &'a zone::Name,
-    /// The fabric domains of this entry's cell.
-    pub domains: &'a BTreeSet<domain::Name>,
-    /// Workers that the request was sent to before.
-    pub avoid: &'a [instance::Id],
-    /// The time within which an answer should begin.
-    pub goal: Duration,
-    /// The time left until the deadline.
-    pub left: Duration,
-    /// Whether the goal cannot be met any more, so that the request gives way to others.
-    pub late: bool,
-    /// Tokens of its prompt.
-    pub tokens: u64,
-    /// This entry's place among those that share what is divided.
-    pub share: Share,
-}
-
-/// A request on its way to a worker.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Sent {
-    /// The worker.
-    pub target: Target,
-    /// When it was chosen.
-    pub at: Time,
-    /// Requests on it beside this one, of all entries.
-    pub running: u32,
-    /// Prompt tokens ahead of this one, of all entries.
-    pub backlog: u64,
-    /// Tokens of its own prompt.
-    pub tokens: u64,
-    /// The forecast wait for the first part of its answer.
-    pub forecast: Duration,
-}
-
-/// How a request on a worker ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum End {
-    /// Its answer was whole.
-    Whole,
-    /// The worker did not run it for now.
-    Shed,
-    /// The worker failed it.
-    Failed,
-    /// The caller or its deadline ended it.
-    Cancelled,
-}
-
-/// Why no worker takes a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Refusal {
-    /// The reason.
-    pub reason: Reason,
-    /// When to come back.
-    pub retry_after: Duration,
-    /// Workers that serve this and were not tried yet.
-    pub workers: usize,
-    /// The least forecast wait among those that are overloaded.
-    pub least_wait: Option<Duration>,
-}
-
-/// The reason of a refusal.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reason {
-    /// No worker serves this.
-    NoWorker,
-    /// Every worker has as much as it can do in time.
-    Overloaded,
-    /// Every worker is cold and has what it bears.
-    Cold,
-}
-
-impl Reason {
-    /// The reason's name in logs and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::NoWorker => "no_worker",
-            Self::Overloaded => "overloaded",
-            Self::Cold => "cold",
-        }
-    }
-}
-
-/// Requests in progress on a worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Load {
-    /// The worker.
-    pub instance: instance::Id,
-    /// The fencing number of its membership; zero for a plain service.
-    pub fence: group::Fence,
-    /// Requests in progress.
-    pub running: u32,
-    /// Prompt tokens of those that have not begun to answer.
-    pub backlog: u64,
-}
-
 /// Requests in progress on a worker, and the prompts among them that wait.
 #[derive(Debug, Clone, Copy, Default)]
 struct Work {
--- a/crates/cyclamen-dispatch/src/lib.rs
+++ b/crates/cyclamen-dispatch/src/lib.rs
@@ -9,10 +9,14 @@
 mod cell;
 mod dispatcher;
 mod forecast;
+mod options;
+mod request;
 mod retries;
 
 pub use allowance::{Allowance, Share};
 pub use cell::{Cell, cell};
-pub use dispatcher::{Dispatcher, End, Load, Options, Reason, Refusal, Sent, Target, Want};
+pub use dispatcher::Dispatcher;
 pub use forecast::Forecast;
+pub use options::Options;
+pub use request::{End, Load, Reason, Refusal, Sent, Target, Want};
 pub use retries::Retries;
--- a/crates/cyclamen-entry/src/settings.rs
+++ b/crates/cyclamen-entry/src/settings.rs
@@ -1,10 +1,10 @@
 //! The settings of an entry instance, in JSON.
 
-use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use cyclamen_settings::{Fault, Secret};
 use cyclamen_types::{entry, zone};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -116,46 +116,6 @@
     }
 }
 
-/// A text that is never printed.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-pub struct Secret(Arc<str>);
-
-impl Secret {
-    /// A secret of that text.
-    pub fn new(text: impl Into<Arc<str>>) -> Self {
-        Self(text.into())
-    }
-
-    /// The text, to be compared in constant time or sent.
-    pub fn reveal(&self) -> &Arc<str> {
-        &self.0
-    }
-}
-
-impl fmt::Debug for Secret {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Secret(..)")
-    }
-}
-
-/// One thing wrong with the settings.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Fault {
-    /// The key.
-    pub key: &'static str,
-    /// What is wrong with it.
-    pub reason: &'static str,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.key, self.reason)
-    }
-}
-
-/// The shortest secret or token, in bytes.
-const SECRET_BYTES: usize = 16;
-
 impl Settings {
     /// Every fault that the types do not rule out.
     pub fn faults(&self) -> Vec<Fault> {
@@ -178,12 +138,12 @@
             (
                 "peer_secret",
                 "has fewer than 16 bytes",
-                self.peer_secret.0.len() < SECRET_BYTES,
+                self.peer_secret.is_short(),
             ),
             (
                 "operator_token",
                 "has fewer than 16 bytes",
-                self.operator_token.0.len() < SECRET_BYTES,
+                self.operator_token.is_short(),
             ),
             (
                 "timing.lease_ms",
@@ -197,10 +157,7 @@
             ),
             ("bounds.body_bytes", "is zero", self.bounds.body_bytes == 0),
         ];
-        let broken = rules.into_iter().filter(|(_, _, broken)| *broken);
-        broken
-            .map(|(key, reason, _)| Fault { key, reason })
-            .collect()
+        cyclamen_settings::faults(rules)
     }
 }
 
--- a/crates/cyclamen-gateway/src/edge/dialect.rs
+++ b/crates/cyclamen-gateway/src/edge/dialect.rs
@@ -25,6 +25,4 @@
     pub urgency: &'static str,
     /// Present on answers to requests that did not run.
     pub not_run: &'static str,
-    /// The instance at fault, on answers to requests that did not run.
-    pub at_fault: &'static str,
 }
--- a/crates/cyclamen-gateway/src/front/stream.rs
+++ b/crates/cyclamen-gateway/src/front/stream.rs
@@ -1,11 +1,13 @@
 //! Streams of events, which go on at another worker where one fails.
 
+mod connect;
+
 use std::io;
 use std::time::Duration;
 
 use cyclamen_directory::route::Repeat;
 use cyclamen_dispatch::{End, Sent};
-use cyclamen_http::{Answer, Error};
+use cyclamen_http::Answer;
 use cyclamen_relay::Events;
 use cyclamen_types::Time;
 use futures::{AsyncReadExt, TryStreamExt, stream};
@@ -13,10 +15,8 @@
 use smol::future::or;
 use trillium::{Body, Conn, Headers};
 
-use crate::front::answer::{Verdict, judge};
 use crate::front::job::Job;
 use crate::front::refusal::Refusal;
-use crate::front::send::send;
 use crate::settings::span;
 use crate::tasks;
 
@@ -24,8 +24,6 @@
 const READ_BYTES: usize = 8 << 10;
 /// The time between two looks at whether a silent worker still serves.
 const SILENCE_TICK: Duration = Duration::from_millis(40);
-/// The time after which callers may come back when no worker took their stream.
-const RECONNECT_WAIT: Duration = Duration::from_millis(300);
 
 /// Answers with a stream, once its first event or another whole answer is there.
 pub(crate) async fn answer(job: Job, conn: &mut Conn) -> Result<(), Refusal> {
@@ -105,16 +103,6 @@
     Late,
 }
 
-/// Why a worker does not answer a request.
-enum Miss {
-    /// No connection was made; another worker may be tried.
-    Unconnected,
-    /// Another worker may be tried, as far as the retry budget allows.
-    Again(Refusal),
-    /// No other worker may be tried.
-    Final(Refusal),
-}
-
 /// A request for a stream, on its way through one worker or more.
 struct Relay {
     job: Job,
@@ -150,111 +138,6 @@
         Ok(head)
     }
 
-    /// Sends the request to workers until one begins to answer.
-    async fn connect(&mut self) -> Result<Begun, Refusal> {
-        loop {
-            let sent = self.job.choose()?;
-            match self.open(sent).await {
-                Ok(head) => return Ok(head),
-                Err(Miss::Final(refusal)) => return Err(refusal),
-                Err(Miss::Unconnected) if self.job.left().is_zero() => {
-                    return Err(Refusal::late());
-                }
-                Err(Miss::Unconnected) => {}
-                Err(Miss::Again(_)) if self.job.may_retry() => {}
-                Err(Miss::Again(refusal)) => return Err(refusal),
-            }
-        }
-    }
-
-    /// Sends the request to one worker.
-    async fn open(&mut self, sent: Sent) -> Result<Begun, Miss> {
-        let sending = Sending {
-            relay: self,
-            sent: &sent,
-            done: false,
-        };
-        let answered = sending.run().await;
-        match answered {
-            Ok(answer) => self.judge(sent, answer),
-            Err(Error::NotSent) => {
-                self.job.release(&sent, End::Failed, false);
-                tasks::check_target(&self.job.node, &sent.target);
-                if self.job.not_connected(&sent) {
-                    return Err(Miss::Unconnected);
-                }
-                let refusal = Refusal::not_now("not_connected", RECONNECT_WAIT);
-                Err(Miss::Final(refusal))
-            }
-            Err(error) => {
-                let late = matches!(error, Error::TimedOut) && self.job.left().is_zero();
-                self.job.release(
-                    &sent,
-                    if late { End::Cancelled } else { End::Failed },
-                    false,
-                );
-                self.job.tried.push(sent.target.instance.clone());
-                tasks::check_target(&self.job.node, &sent.target);
-                Err(if late {
-                    Miss::Final(Refusal::late())
-                } else {
-                    self.failed()
-                })
-            }
-        }
-    }
-
-    /// What becomes of a request that may have run without an answer.
-    fn failed(&mut self) -> Miss {
-        self.job.may_have_run = true;
-        let refusal = Refusal::failed("outcome_unknown");
-        if self.may_resume() {
-            Miss::Again(refusal)
-        } else {
-            Miss::Final(refusal)
-        }
-    }
-
-    fn judge(&mut self, sent: Sent, answer: Answer) -> Result<Begun, Miss> {
-        match judge(&self.job, &answer) {
-            Verdict::NotRun => {
-                self.job.release(&sent, End::Shed, false);
-                tasks::check_target(&self.job.node, &sent.target);
-                self.job.tried.push(sent.target.instance.clone());
-                let refusal = Refusal::not_now("shed", RECONNECT_WAIT);
-                Err(Miss::Again(refusal))
-            }
-            Verdict::Foreign => {
-                self.job.release(&sent, End::Failed, false);
-                self.job.tried.push(sent.target.instance.clone());
-                Err(self.failed())
-            }
-            Verdict::Failed if self.may_resume() => {
-                self.job.release(&sent, End::Failed, false);
-                self.job.tried.push(sent.target.instance.clone());
-                self.job.may_have_run = true;
-                Err(Miss::Again(Refusal::failed("endpoint_failed")))
-            }
-            Verdict::Answered | Verdict::Failed => {
-                self.job.tried.push(sent.target.instance.clone());
-                self.job.may_have_run = true;
-                let head = Begun {
-                    status: answer.status,
-                    headers: cyclamen_relay::end_to_end(&answer.headers),
-                    part: Part::End,
-                };
-                self.open = Some(Open {
-                    heard: self.job.node.now(),
-                    events: Events::default(),
-                    started: false,
-                    answer,
-                    sent,
-                });
-                Ok(head)
-            }
-        }
-    }
-
     fn may_resume(&self) -> bool {
         self.job.route.repeat == Repeat::Resume
     }
@@ -359,22 +242,7 @@
                     if count > 0 && !open.started {
                         open.started = true;
                         self.job.started(&open.sent);
-                        log::info!(
-                            "event=first_event id={} instance={} model={} wait_ms={} forecast_ms={} running={} backlog={} tokens={} late={}",
-                            self.job.id,
-                            open.sent.target.instance,
-                            open.sent
-                                .target
-                                .model
-                                .as_ref()
-                                .map_or("none", |m| m.as_str()),
-                            open.heard.since(open.sent.at).as_millis(),
-                            open.sent.forecast.as_millis(),
-                            open.sent.running,
-                            open.sent.backlog,
-                            open.sent.tokens,
-                            self.job.is_late()
-                        );
+                        self.log_first(open);
                     }
                     let pushed = open.events.push(&buffer[..count]);
                     pushed.map_err(|_| Break::Closed)?;
@@ -386,6 +254,23 @@
         }
     }
 
+    fn log_first(&self, open: &Open) {
+        let Sent { target, .. } = &open.sent;
+        log::info!(
+            "event=first_event id={} instance={} model={} wait_ms={} forecast_ms={} \
+             running={} backlog={} tokens={} late={}",
+            self.job.id,
+            target.instance,
+            target.model.as_ref().map_or("none", |m| m.as_str()),
+            open.heard.since(open.sent.at).as_millis(),
+            open.sent.forecast.as_millis(),
+            open.sent.running,
+            open.sent.backlog,
+            open.sent.tokens,
+            self.job.is_late()
+        );
+    }
+
     /// Has the group of a silent worker checked, and gives up one that lost a member.
     fn watch(&self, open: &Open) -> Result<(), Break> {
         let node = &self.job.node;
@@ -400,46 +285,3 @@
         Ok(())
     }
 }
-
-/// A request that is being sent; it is taken off its worker if the caller goes away.
-struct Sending<'a> {
-    relay: &'a Relay,
-    sent: &'a Sent,
-    done: bool,
-}
-
-impl Sending<'_> {
-    async fn run(mut self) -> Result<Answer, Error> {
-        let answer = self.wait().await;
-        self.done = true;
-        answer
-    }
-
-    /// Waits for the head of the answer while the worker's group is whole.
-    async fn wait(&self) -> Result<Answer, Error> {
-        let job = &self.relay.job;
-        let sending = send(job, self.sent, self.relay.delivered);
-        let watching = async {
-            loop {
-                Timer::after(SILENCE_TICK).await;
-                let waited = job.node.now().since(self.sent.at);
-                if waited < span(job.node.settings.timing.stall_ms) {
-                    continue;
-                }
-                if job.node.state().lost_member(&self.sent.target) {
-                    return Err(Error::Closed);
-                }
-                tasks::check_target(&job.node, &self.sent.target);
-            }
-        };
-        or(sending, watching).await
-    }
-}
-
-impl Drop for Sending<'_> {
-    fn drop(&mut self) {
-        if !self.done {
-            self.relay.job.release(self.sent, End::Cancelled, false);
-        }
-    }
-}
--- a/crates/cyclamen-gateway/src/settings.rs
+++ b/crates/cyclamen-gateway/src/settings.rs
@@ -1,10 +1,9 @@
 //! The settings of a gateway, in JSON.
 
-use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
+pub use cyclamen_settings::{Fault, Secret};
 use cyclamen_types::{entry, zone};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -108,41 +107,6 @@
     }
 }
 
-/// A text that is never printed.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-pub struct Secret(Arc<str>);
-
-impl Secret {
-    /// The text, to be compared in constant time or sent.
-    pub fn reveal(&self) -> &Arc<str> {
-        &self.0
-    }
-}
-
-impl fmt::Debug for Secret {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Secret(..)")
-    }
-}
-
-/// One thing wrong with the settings.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Fault {
-    /// The key.
-    pub key: &'static str,
-    /// What is wrong with it.
-    pub reason: &'static str,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.key, self.reason)
-    }
-}
-
-/// The shortest secret, in bytes.
-const SECRET_BYTES: usize = 16;
-
 impl Settings {
     /// Every fault that the types do not rule out.
     pub fn faults(&self) -> Vec<Fault> {
@@ -169,7 +133,7 @@
             (
                 "peer_secret",
                 "has fewer than 16 bytes",
-                self.peer_secret.0.len() < SECRET_BYTES,
+                self.peer_secret.is_short(),
             ),
             (
                 "timing.lease_ms",
@@ -200,10 +164,7 @@
             ),
             ("retries.window_ms", "is zero", retries.window_ms == 0),
         ];
-        let broken = rules.into_iter().filter(|(_, _, broken)| *broken);
-        broken
-            .map(|(key, reason, _)| Fault { key, reason })
-            .collect()
+        cyclamen_settings::faults(rules)
     }
 }
 
--- a/crates/cyclamen-gateway/src/tasks/own.rs
+++ b/crates/cyclamen-gateway/src/tasks/own.rs
@@ -106,7 +106,7 @@
 }
 
 /// The fabric domains whose workers keep replica groups.
-fn domains(state: &State) -> BTreeSet<domain::Name> {
+pub(super) fn domains(state: &State) -> BTreeSet<domain::Name> {
     let entries = state.register.entries().filter(|entry| {
         let service = state.catalog.service(&entry.instance.service);
         service.is_some_and(|s| s.engine.is_some())
--- a/crates/cyclamen-replica/src/planner.rs
+++ b/crates/cyclamen-replica/src/planner.rs
@@ -26,8 +26,6 @@
     pub begin: Duration,
     /// The window in which loads are counted.
     pub load_window: Duration,
-    /// Loads of weights that may begin in a window while groups serve.
-    pub loads: usize,
     /// The time for which the list of the domain's workers has to stay the same before the
     /// first group is formed.
     pub settle: Duration,
@@ -41,7 +39,6 @@
             resend: Duration::from_millis(400),
             begin: Duration::from_millis(2_500),
             load_window: Duration::from_secs(5),
-            loads: 4,
             settle: Duration::from_millis(700),
             warming: Duration::from_secs(4),
         }
@@ -74,6 +71,8 @@
     pub workers: &'a [Worker],
     /// Groups of each model that serve in other domains.
     pub elsewhere: &'a Mix,
+    /// Fabric domains that share the rate of loads of weights.
+    pub domains: usize,
 }
 
 impl Scene<'_> {
--- a/crates/cyclamen-replica/src/planner/spares.rs
+++ b/crates/cyclamen-replica/src/planner/spares.rs
@@ -217,6 +217,14 @@
     /// Whether that many loads of weights may begin now.
     pub(super) fn may_load(&self, scene: &Scene<'_>, count: usize) -> bool {
         let fresh = scene.workers.iter().all(|w| w.instance.staged.is_empty());
-        fresh || self.loads.len() + count <= self.options.loads
+        fresh || self.loads.len() + count <= self.load_limit(scene)
+    }
+
+    /// Loads that may begin in a window: this domain's part of what the weight store allows.
+    fn load_limit(&self, scene: &Scene<'_>) -> usize {
+        let window = self.options.load_window.as_secs_f64();
+        let all = scene.engine.loads_per_second * window;
+        let part = all / scene.domains.max(1) as f64;
+        (part as usize).max(1)
     }
 }
--- a/crates/cyclamen-replica/tests/replica/groups.rs
+++ b/crates/cyclamen-replica/tests/replica/groups.rs
@@ -88,6 +88,22 @@
     assert_eq!(world.broken, Vec::<String>::new());
 }
 
+#[test]
+fn loads_keep_to_the_domains_part_of_the_weight_stores_rate() {
+    let mut world = World::new(8);
+    world.domains = 12;
+    world.run(START + START);
+    let busy = world.now;
+    for n in 0..8 {
+        world.add();
+        world.kill(n);
+        world.run(Duration::from_millis(300));
+    }
+    world.run(START);
+    // Four loads a second over twelve domains are 1.7 in five seconds.
+    assert_eq!(world.most_loads(busy), 1);
+}
+
 /// What happens to the workers, their orders and their planner.
 #[derive(Debug, Clone)]
 enum Event {
--- a/crates/cyclamen-replica/tests/replica/world.rs
+++ b/crates/cyclamen-replica/tests/replica/world.rs
@@ -73,7 +73,9 @@
     bodies: BTreeMap<instance::Id, Body>,
     /// Orders that are carried out late.
     late: Vec<(Time, Command)>,
-    stagings: usize,
+    stagings: Vec<Time>,
+    /// Fabric domains that share the rate of loads.
+    pub domains: usize,
     /// Whether the next order is lost, late or both answered and carried out.
     pub fate: Fate,
     /// Rules that were broken.
@@ -99,7 +101,8 @@
             fences: 0,
             bodies: BTreeMap::new(),
             late: Vec::new(),
-            stagings: 0,
+            stagings: Vec::new(),
+            domains: 6,
             fate: Fate::Followed,
             broken: Vec::new(),
             ready: BTreeMap::new(),
@@ -211,7 +214,18 @@
 
     /// Weights that were loaded so far, beside those of the first groups.
     pub fn staged(&self) -> usize {
-        self.stagings
+        self.stagings.len()
+    }
+
+    /// The most loads that began within five seconds, after a moment.
+    pub fn most_loads(&self, after: Time) -> usize {
+        let window = Duration::from_secs(5);
+        let later = self.stagings.iter().filter(|at| **at > after);
+        let counts = later.map(|from| {
+            let within = |at: &&Time| **at >= *from && at.since(*from) < window;
+            self.stagings.iter().filter(within).count()
+        });
+        counts.max().unwrap_or(0)
     }
 
     pub fn run(&mut self, time: Duration) {
@@ -240,6 +254,7 @@
             engine: &self.engine,
             workers: &workers,
             elsewhere: &Mix::new(),
+            domains: self.domains,
         };
         for command in self.planner.plan(&scene) {
             match self.fate {
@@ -344,7 +359,7 @@
                 let body = self.bodies.get_mut(&command.instance).unwrap();
                 if body.staging.is_none() {
                     body.staging = Some((model.clone(), due));
-                    self.stagings += 1;
+                    self.stagings.push(self.now);
                 }
             }
         }
