fix: let workers that are no longer listed end their work

The owner had the members of their groups leave at once, which stalled and cut the streams. Ruled out: the configuration change at the same time; the streams were whole till then. One that does not answer either is replaced at once.

--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -54,9 +54,9 @@
     tasks
 }
 
-/// Forgets what is too old to be believed, and asks doubted workers again.
+/// Forgets what is too old to be believed, and asks workers again that may be gone.
 async fn expire(node: &Arc<Node>) {
     let now = node.now();
     node.state().expire_beliefs(now);
-    check::recheck_doubted(node);
+    check::recheck(node);
 }
--- a/crates/cyclamen-gateway/src/tasks/check.rs
+++ b/crates/cyclamen-gateway/src/tasks/check.rs
@@ -81,19 +81,22 @@
     false
 }
 
-/// Asks doubted workers again that are still listed.
-pub(super) fn recheck_doubted(node: &Arc<Node>) {
-    let doubted: Vec<Arc<Instance>> = {
+/// Asks again the workers that are doubted, and members of groups in own domains that are
+/// no longer listed, which may end their work or be gone.
+pub(super) fn recheck(node: &Arc<Node>) {
+    let workers: Vec<Arc<Instance>> = {
         let state = node.state();
-        let doubted = state.doubts.own();
-        let listed = doubted.filter_map(|start| {
-            let entry = state.register.get(&start.instance)?;
-            let same = entry.instance.incarnation == start.incarnation;
-            same.then(|| entry.instance.clone())
+        let entries = state.register.entries();
+        let due = entries.filter(|entry| {
+            let instance = &entry.instance;
+            let domain = instance.domain.as_ref();
+            let own = domain.is_some_and(|d| state.ownership.planners.contains_key(d));
+            let departed = own && entry.has_departed() && instance.membership.is_some();
+            departed || state.doubts.is_own(&Start::from(instance.as_ref()))
         });
-        listed.collect()
+        due.map(|entry| entry.instance.clone()).collect()
     };
-    for worker in doubted {
+    for worker in workers {
         check_worker(node, worker);
     }
 }
--- a/crates/cyclamen-gateway/src/tasks/plan.rs
+++ b/crates/cyclamen-gateway/src/tasks/plan.rs
@@ -76,14 +76,18 @@
         let instance = &entry.instance;
         instance.service == service.name && instance.domain.as_ref() == Some(domain)
     });
-    here.map(|entry| Worker {
-        instance: entry.instance.clone(),
-        answers: !state
-            .doubts
-            .is_lost(now, &Start::from(entry.instance.as_ref())),
-        listed: entry.is_listed(),
-        doubted: state.is_doubted(&entry.instance),
-        zone_in: !state.zones_out.contains(&entry.instance.zone),
+    here.map(|entry| {
+        let start = Start::from(entry.instance.as_ref());
+        let doubted = state.doubts.is_doubted(&start);
+        // That a worker is not listed any more is a second opinion.
+        let gone = entry.has_departed() && doubted;
+        Worker {
+            instance: entry.instance.clone(),
+            answers: !gone && !state.doubts.is_lost(now, &start),
+            listed: entry.is_listed(),
+            doubted,
+            zone_in: !state.zones_out.contains(&entry.instance.zone),
+        }
     })
     .collect()
 }
--- a/crates/cyclamen-replica/src/doubts.rs
+++ b/crates/cyclamen-replica/src/doubts.rs
@@ -125,16 +125,16 @@
         others || now.since(doubt.since) >= self.limits.alone
     }
 
+    /// Whether this entry has found out itself that a worker does not answer.
+    pub fn is_own(&self, start: &Start) -> bool {
+        self.own.contains_key(start)
+    }
+
     /// What this entry has found out itself, for other entries.
     pub fn own(&self) -> impl Iterator<Item = &Start> {
         self.own.keys()
     }
 
-    /// The workers that are doubted for whatever reason.
-    pub fn doubted(&self) -> impl Iterator<Item = &Start> {
-        self.own.keys().chain(self.asked.keys())
-    }
-
     /// Forgets what is too old; whether any worker is doubted no more.
     pub fn expire(&mut self, now: Time) -> bool {
         let Limits {
