--- a/crates/cyclamen-replica/src/planner/forming.rs
+++ b/crates/cyclamen-replica/src/planner/forming.rs
@@ -12,7 +12,7 @@
 use crate::order::{Command, Order};
 use crate::planner::{Planner, Scene, Worker, to_head};
 
-/// How long a worker that did not begin to join is passed over, in planning steps' time.
+/// How long a worker that did not begin to join is passed over.
 const PASS_OVER: std::time::Duration = std::time::Duration::from_secs(3);
 
 /// A group on its way from the first order to join until the head serves.
