--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -6,6 +6,7 @@
 mod news;
 mod own;
 mod plan;
+mod store;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/cyclamen-gateway/src/tasks/follow.rs
+++ b/crates/cyclamen-gateway/src/tasks/follow.rs
@@ -9,6 +9,7 @@
 use crate::edge::{Error, Followed, Snapshot, Table};
 use crate::node::{FOLLOWED, Node};
 use crate::settings::span;
+use crate::tasks::store;
 
 /// The pause after a failed call; it doubles up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -62,9 +63,7 @@
 }
 
 async fn read(node: &Arc<Node>, table: Table) -> Result<(), Error> {
-    let answer = node.platform.read(table).await;
-    node.metrics.called_store("read", answer.is_ok());
-    let snapshot = answer?;
+    let snapshot = store::read(node, table).await?;
     log::info!(
         "event=table_read table={} rows={} revision={}",
         table.as_str(),
--- a/crates/cyclamen-gateway/src/tasks/lease.rs
+++ b/crates/cyclamen-gateway/src/tasks/lease.rs
@@ -11,6 +11,7 @@
 
 use crate::edge::{Commit, Error, Snapshot, Table, Transaction};
 use crate::node::{Node, Peer, State};
+use crate::tasks::store;
 
 /// The time between two renewals of an entry that looks after no domain.
 const IDLE_RENEWAL: Duration = Duration::from_secs(10);
@@ -42,15 +43,15 @@
     if node.state().lease_revision.is_none() && find_own_row(node).await.is_err() {
         return;
     }
-    let (key, value, revision) = own_row(node);
+    let Some((key, value, revision)) = own_row(node) else {
+        return;
+    };
     let transaction = Transaction {
         conditions: vec![(Table::Entries, key.clone(), revision)],
         puts: vec![(Table::Entries, key, value)],
         deletes: Vec::new(),
     };
-    let answer = node.platform.commit(transaction).await;
-    node.metrics.called_store("commit", answer.is_ok());
-    match answer {
+    match store::commit(node, transaction).await {
         Ok(Commit::Done(revision)) => {
             let mut state = node.state();
             let held = state.lease.holds(now);
@@ -75,16 +76,17 @@
     !idle || renewed.is_none_or(|at| now.since(at) >= IDLE_RENEWAL)
 }
 
-fn own_row(node: &Node) -> (Arc<str>, Arc<str>, Revision) {
+/// The key, the value and the last revision of this entry's row.
+fn own_row(node: &Node) -> Option<(Arc<str>, Arc<str>, Revision)> {
     let state = node.state();
     let row = Row {
         incarnation: state.me.incarnation,
         address: node.settings.peer_listen,
         zone: state.zone.clone(),
     };
-    let value = serde_json::to_string(&row).unwrap_or_default();
+    let value = store::encode(&row)?;
     let key = state.me.entry.as_str().into();
-    (key, value.into(), state.lease_revision.unwrap_or_default())
+    Some((key, value, state.lease_revision.unwrap_or_default()))
 }
 
 /// Reads the entries' rows, takes note of the others, and finds the own one.
@@ -122,9 +124,7 @@
 
 /// Reads the entries' rows and takes note of the other entries.
 pub(super) async fn read_entries(node: &Arc<Node>) -> Result<Snapshot, Error> {
-    let answer = node.platform.read(Table::Entries).await;
-    node.metrics.called_store("read", answer.is_ok());
-    let snapshot = answer?;
+    let snapshot = store::read(node, Table::Entries).await?;
     note_peers(node, &snapshot);
     Ok(snapshot)
 }
@@ -198,9 +198,7 @@
         state.ownership.planners.clear();
         transaction
     };
-    let answer = node.platform.commit(transaction).await;
-    node.metrics.called_store("commit", answer.is_ok());
-    match answer {
+    match store::commit(node, transaction).await {
         Ok(Commit::Done(_)) => log::info!("event=lease_resigned"),
         Ok(Commit::Conflict) => log::warn!("event=lease_not_resigned reason=conflict"),
         Err(error) => log::warn!("event=lease_not_resigned reason=\"{error}\""),
--- a/crates/cyclamen-gateway/src/tasks/own.rs
+++ b/crates/cyclamen-gateway/src/tasks/own.rs
@@ -14,7 +14,7 @@
 use crate::edge::{Commit, Snapshot, Table, Transaction};
 use crate::node::{Holding, Node, State};
 use crate::settings::span;
-use crate::tasks::lease;
+use crate::tasks::{lease, store};
 
 /// Entries that watch a domain in a large fleet.
 const WATCHERS: usize = 3;
@@ -42,9 +42,7 @@
     if wanted.is_empty() {
         return;
     }
-    let answer = node.platform.read(Table::Domains).await;
-    node.metrics.called_store("read", answer.is_ok());
-    let Ok(domains) = answer else {
+    let Ok(domains) = store::read(node, Table::Domains).await else {
         return;
     };
     let now = node.now();
@@ -203,10 +201,10 @@
     let row = Row {
         owner: state.me.clone(),
     };
-    let value = serde_json::to_string(&row).ok()?;
+    let value = store::encode(&row)?;
     let mut transaction = Transaction {
         conditions: vec![(Table::Domains, key.clone(), revision)],
-        puts: vec![(Table::Domains, key, value.into())],
+        puts: vec![(Table::Domains, key, value)],
         deletes: Vec::new(),
     };
     let own_lease: Arc<str> = state.me.entry.as_str().into();
@@ -238,9 +236,7 @@
 }
 
 async fn write(node: &Arc<Node>, name: &domain::Name, transaction: Transaction) {
-    let answer = node.platform.commit(transaction).await;
-    node.metrics.called_store("commit", answer.is_ok());
-    match answer {
+    match store::commit(node, transaction).await {
         Ok(Commit::Done(revision)) => {
             log::info!("event=domain_taken domain={name} revision={revision}");
             let mut state = node.state();
