--- a/crates/cyclamen-cache/src/types.rs
+++ b/crates/cyclamen-cache/src/types.rs
@@ -12,6 +12,11 @@
 )]
 pub struct Revision(pub u64);
 
+impl Revision {
+    /// The revision that a condition names for a row which must not exist.
+    pub const ABSENT: Self = Self(0);
+}
+
 impl fmt::Display for Revision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.0)
--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -99,9 +99,8 @@
                 continue;
             }
             refused.workers += 1;
-            let work = slot
-                .work
-                .plus(peers.get(place).copied().unwrap_or_default());
+            let theirs = peers.get(place).copied();
+            let work = theirs.map_or(slot.work, |theirs| slot.work.plus(theirs));
             let wait = slot.wait(work, &self.options);
             if !self.options.accepts(want, &slot.target, work, wait) {
                 refused.overloaded(wait);
--- a/crates/cyclamen-domain/src/domain.rs
+++ b/crates/cyclamen-domain/src/domain.rs
@@ -346,6 +346,7 @@
     }
 }
 
+/// The limits of a pool; one that no longer exists gets no work.
 fn limits_of(pools: &Pools, pool: &pool::Name) -> Limits {
     pools.get(pool).map(|p| p.limits).unwrap_or_default()
 }
--- a/crates/cyclamen-entry/src/caller/claim.rs
+++ b/crates/cyclamen-entry/src/caller/claim.rs
@@ -128,12 +128,22 @@
 }
 
 async fn read(node: &Node, key: &Key) -> Event {
-    let Ok(rows) = node.platform.read([key.clone()]).await else {
-        return Event::Unread;
+    let rows = match node.platform.read([key.clone()]).await {
+        Ok(rows) => rows,
+        Err(error) => {
+            log::info!("event=claim_not_read key={key} reason=\"{error}\"");
+            return Event::Unread;
+        }
     };
     let row = rows.into_iter().find(|row| row.value.is_some());
-    let revision = row.as_ref().map(|row| row.revision).unwrap_or_default();
-    let record = row.and_then(|row| serde_json::from_str(row.value.as_deref()?).ok());
+    let revision = row.as_ref().map_or(Revision::ABSENT, |row| row.revision);
+    let record = row.and_then(|row| {
+        let decoded = serde_json::from_str(row.value.as_deref()?);
+        let decoded = decoded.inspect_err(|error| {
+            log::warn!("event=claim_not_understood key={key} reason=\"{error}\"");
+        });
+        decoded.ok()
+    });
     Event::Row(revision, record)
 }
 
--- a/crates/cyclamen-entry/src/caller/plain.rs
+++ b/crates/cyclamen-entry/src/caller/plain.rs
@@ -50,11 +50,8 @@
     let team = request::team(node, conn)?;
     let hop = node.metrics.hop("caller", request::traceparent(conn));
     let path: Arc<str> = conn.path_and_query().into();
-    let name = path
-        .trim_start_matches('/')
-        .split(['/', '?'])
-        .next()
-        .unwrap_or_default();
+    let name = path.trim_start_matches('/');
+    let name = name.find(['/', '?']).map_or(name, |end| &name[..end]);
     let route = request::route(node, name)?;
     let key = conn
         .request_headers()
--- a/crates/cyclamen-entry/src/caller/request.rs
+++ b/crates/cyclamen-entry/src/caller/request.rs
@@ -20,11 +20,9 @@
     let header = conn
         .request_headers()
         .get_str(KnownHeaderName::Authorization);
-    let key = header
-        .and_then(|h| h.strip_prefix("Bearer "))
-        .unwrap_or_default();
+    let key = header.and_then(|h| h.strip_prefix("Bearer "));
     let routes = node.state().routes.clone();
-    let team = routes.body.team_of_key(key).cloned();
+    let team = key.and_then(|key| routes.body.team_of_key(key)).cloned();
     team.ok_or_else(|| Refusal::invalid(401, "invalid_api_key", "no team has this API key"))
 }
 
--- a/crates/cyclamen-entry/src/node/follow.rs
+++ b/crates/cyclamen-entry/src/node/follow.rs
@@ -43,10 +43,10 @@
         self.follow_key(now, &key);
     }
 
-    /// The revision of a row, or zero if it is absent.
+    /// The revision of a row, as conditions of transactions name it.
     pub(crate) fn revision(&self, key: &Key) -> Revision {
         let row = self.cache.row(key).filter(|row| row.value.is_some());
-        row.map(|row| row.revision).unwrap_or_default()
+        row.map_or(Revision::ABSENT, |row| row.revision)
     }
 
     fn follow_key(&mut self, now: Time, key: &Key) {
--- a/crates/cyclamen-entry/src/operator/mod.rs
+++ b/crates/cyclamen-entry/src/operator/mod.rs
@@ -43,11 +43,9 @@
         let header = conn
             .request_headers()
             .get_str(KnownHeaderName::Authorization);
-        let token = header
-            .and_then(|h| h.strip_prefix("Bearer "))
-            .unwrap_or_default();
+        let token = header.and_then(|h| h.strip_prefix("Bearer "));
         let expected = self.0.settings.operator_token.reveal();
-        token.as_bytes().ct_eq(expected.as_bytes()).into()
+        token.is_some_and(|token| token.as_bytes().ct_eq(expected.as_bytes()).into())
     }
 
     async fn operate(&self, mut conn: Conn) -> Conn {
--- a/crates/cyclamen-gateway/src/front.rs
+++ b/crates/cyclamen-gateway/src/front.rs
@@ -1,6 +1,7 @@
 //! The listeners for callers, the balancer and readers of metrics.
 
 mod answer;
+mod check;
 mod job;
 mod plain;
 mod refusal;
--- /dev/null
+++ b/crates/cyclamen-gateway/src/front/check.rs
@@ -0,0 +1,92 @@
+//! Checks of a caller's request before anything is decided about it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cyclamen_directory::team::Key;
+use cyclamen_directory::{Catalog, Route, Team};
+use smol::Timer;
+use smol::future::or;
+use trillium::{Conn, KnownHeaderName};
+
+use crate::front::refusal::Refusal;
+use crate::node::Node;
+
+/// The time to read a request body.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// What the head of a request says.
+pub(super) struct Checked {
+    pub(super) id: Arc<str>,
+    pub(super) route: Arc<Route>,
+    pub(super) team: Option<Arc<Team>>,
+}
+
+/// Finds the id, the route and the team of a request.
+pub(super) fn check(node: &Node, catalog: &Catalog, conn: &Conn) -> Result<Checked, Refusal> {
+    if !node.state().is_configured() {
+        return Err(Refusal::unconfigured());
+    }
+    let headers = conn.request_headers();
+    if cyclamen_relay::is_framed_twice(headers) {
+        return Err(Refusal::invalid(400, "framed_twice"));
+    }
+    let host = conn.host().map(without_port);
+    let route = host.and_then(|host| catalog.route(host, conn.path()));
+    let route = route.ok_or(Refusal::invalid(404, "no_route"))?;
+    let dialect = node.platform.dialect();
+    let id = headers.get_str(dialect.request_id);
+    let id = id.filter(|id| !id.is_empty());
+    let id = id.ok_or(Refusal::invalid(400, "no_request_id"))?;
+    let header = headers.get_str(KnownHeaderName::Authorization);
+    let key = header.and_then(|h| h.strip_prefix(dialect.key_scheme));
+    let team = key.and_then(|key| catalog.team(&Key::new(key.trim())));
+    if team.is_none() && catalog.has_teams() && !route.anonymous {
+        return Err(Refusal::invalid(401, "unknown_key"));
+    }
+    Ok(Checked {
+        id: id.into(),
+        route: route.clone(),
+        team: team.cloned(),
+    })
+}
+
+fn without_port(host: &str) -> &str {
+    host.find(':').map_or(host, |colon| &host[..colon])
+}
+
+/// Logs and counts a request that was refused for its head.
+pub(super) fn log_refused(node: &Node, conn: &Conn, refusal: Refusal) {
+    let id = conn
+        .request_headers()
+        .get_str(node.platform.dialect().request_id);
+    let version = node.state().catalog.version();
+    node.metrics.ended("none", refusal.reason, Duration::ZERO);
+    log::info!(
+        "event=request id={} outcome={} status={} host={:?} path={:?} version={version}",
+        id.unwrap_or("none"),
+        refusal.reason,
+        refusal.status,
+        conn.host().unwrap_or_default(),
+        conn.path()
+    );
+}
+
+/// Reads the body of a request, up to a number of bytes.
+pub(super) async fn read_body(conn: &mut Conn, limit: u64) -> Result<Vec<u8>, Refusal> {
+    let reading = async {
+        let body = conn.request_body().with_max_len(limit);
+        match body.read_bytes().await {
+            Ok(bytes) => Ok(bytes),
+            Err(trillium_http::Error::ReceivedBodyTooLong(_)) => {
+                Err(Refusal::invalid(413, "body_too_long"))
+            }
+            Err(_) => Err(Refusal::invalid(400, "body_not_read")),
+        }
+    };
+    let late = async {
+        Timer::after(BODY_TIME).await;
+        Err(Refusal::invalid(408, "body_late"))
+    };
+    or(reading, late).await
+}
--- a/crates/cyclamen-gateway/src/front/job.rs
+++ b/crates/cyclamen-gateway/src/front/job.rs
@@ -5,21 +5,17 @@
 
 use cyclamen_directory::route::Repeat;
 use cyclamen_directory::service::Service;
-use cyclamen_directory::team::Key;
-use cyclamen_directory::{Catalog, Route, Team};
+use cyclamen_directory::{Route, Team};
 use cyclamen_dispatch::{End, Sent, Want};
 use cyclamen_types::{Time, instance, model, pool};
 use rand::Rng;
-use smol::Timer;
-use smol::future::or;
 use trillium::{Conn, Headers, KnownHeaderName, Method};
 
 use crate::edge::Table;
+use crate::front::check::{Checked, check, log_refused, read_body};
 use crate::front::refusal::Refusal;
 use crate::node::Node;
 
-/// The time to read a request body.
-const BODY_TIME: Duration = Duration::from_secs(10);
 /// Connections to other workers that a request tries after one could not be made.
 const CONNECT_TRIES: u32 = 3;
 
@@ -54,10 +50,10 @@
         let arrived = node.now();
         let catalog = node.state().catalog.clone();
         let checked = check(node, &catalog, conn);
-        let (route, team) = checked.inspect_err(|refusal| log_refused(node, conn, *refusal))?;
+        let Checked { id, route, team } =
+            checked.inspect_err(|refusal| log_refused(node, conn, *refusal))?;
         let dialect = node.platform.dialect();
         let header = |name: &'static str| conn.request_headers().get_str(name);
-        let id: Arc<str> = header(dialect.request_id).unwrap_or_default().into();
         let asked = header(dialect.deadline_ms).and_then(|text| text.parse::<u64>().ok());
         let asked = asked.map_or(route.timeout, Duration::from_millis);
         let deadline = arrived + asked.min(route.timeout);
@@ -261,68 +257,3 @@
         self.end("caller_gone", 0, None);
     }
 }
-
-/// Finds the route and the team of a request.
-fn check(
-    node: &Node,
-    catalog: &Catalog,
-    conn: &Conn,
-) -> Result<(Arc<Route>, Option<Arc<Team>>), Refusal> {
-    if !node.state().is_configured() {
-        return Err(Refusal::unconfigured());
-    }
-    let headers = conn.request_headers();
-    if cyclamen_relay::is_framed_twice(headers) {
-        return Err(Refusal::invalid(400, "framed_twice"));
-    }
-    let host = conn.host().unwrap_or_default();
-    let host = host.split(':').next().unwrap_or_default();
-    let route = catalog.route(host, conn.path());
-    let route = route.ok_or(Refusal::invalid(404, "no_route"))?;
-    let dialect = node.platform.dialect();
-    let id = headers.get_str(dialect.request_id).unwrap_or_default();
-    if id.is_empty() {
-        return Err(Refusal::invalid(400, "no_request_id"));
-    }
-    let header = headers.get_str(KnownHeaderName::Authorization);
-    let key = header.and_then(|h| h.strip_prefix(dialect.key_scheme));
-    let team = key.and_then(|key| catalog.team(&Key::new(key.trim())));
-    if team.is_none() && catalog.has_teams() && !route.anonymous {
-        return Err(Refusal::invalid(401, "unknown_key"));
-    }
-    Ok((route.clone(), team.cloned()))
-}
-
-fn log_refused(node: &Node, conn: &Conn, refusal: Refusal) {
-    let id = conn
-        .request_headers()
-        .get_str(node.platform.dialect().request_id);
-    let version = node.state().catalog.version();
-    node.metrics.ended("none", refusal.reason, Duration::ZERO);
-    log::info!(
-        "event=request id={} outcome={} status={} host={:?} path={:?} version={version}",
-        id.unwrap_or("none"),
-        refusal.reason,
-        refusal.status,
-        conn.host().unwrap_or_default(),
-        conn.path()
-    );
-}
-
-async fn read_body(conn: &mut Conn, limit: u64) -> Result<Vec<u8>, Refusal> {
-    let reading = async {
-        let body = conn.request_body().with_max_len(limit);
-        match body.read_bytes().await {
-            Ok(bytes) => Ok(bytes),
-            Err(trillium_http::Error::ReceivedBodyTooLong(_)) => {
-                Err(Refusal::invalid(413, "body_too_long"))
-            }
-            Err(_) => Err(Refusal::invalid(400, "body_not_read")),
-        }
-    };
-    let late = async {
-        Timer::after(BODY_TIME).await;
-        Err(Refusal::invalid(408, "body_late"))
-    };
-    or(reading, late).await
-}
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -4,6 +4,7 @@
 mod duties;
 mod peers;
 mod state;
+mod targets;
 
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
--- a/crates/cyclamen-gateway/src/tasks/lease.rs
+++ b/crates/cyclamen-gateway/src/tasks/lease.rs
@@ -86,7 +86,8 @@
     };
     let value = store::encode(&row)?;
     let key = state.me.entry.as_str().into();
-    Some((key, value, state.lease_revision.unwrap_or_default()))
+    let revision = state.lease_revision.unwrap_or(Revision::ABSENT);
+    Some((key, value, revision))
 }
 
 /// Reads the entries' rows, takes note of the others, and finds the own one.
@@ -95,7 +96,7 @@
     let mut state = node.state();
     let me = state.me.entry.clone();
     let own = snapshot.rows.iter().find(|row| *row.key == *me.as_str());
-    state.lease_revision = Some(own.map(|row| row.revision).unwrap_or_default());
+    state.lease_revision = Some(own.map_or(Revision::ABSENT, |row| row.revision));
     Ok(())
 }
 
@@ -117,7 +118,7 @@
     }
     log::warn!("event=lease_lost");
     state.lease.lost();
-    state.lease_revision = Some(own.map(|r| r.revision).unwrap_or_default());
+    state.lease_revision = Some(own.map_or(Revision::ABSENT, |r| r.revision));
     state.ownership.planners.clear();
     state.me.incarnation = entry::Incarnation(state.rng.random());
 }
--- a/crates/cyclamen-gateway/src/tasks/own.rs
+++ b/crates/cyclamen-gateway/src/tasks/own.rs
@@ -197,7 +197,7 @@
 ) -> Option<Transaction> {
     let key: Arc<str> = name.as_str().into();
     let holding = state.ownership.holdings.get(name);
-    let revision = holding.map(|h| h.revision).unwrap_or_default();
+    let revision = holding.map_or(Revision::ABSENT, |h| h.revision);
     let row = Row {
         owner: state.me.clone(),
     };
@@ -208,7 +208,7 @@
         deletes: Vec::new(),
     };
     let own_lease: Arc<str> = state.me.entry.as_str().into();
-    let lease_revision = state.lease_revision.unwrap_or_default();
+    let lease_revision = state.lease_revision.unwrap_or(Revision::ABSENT);
     transaction
         .conditions
         .push((Table::Entries, own_lease, lease_revision));
@@ -227,7 +227,7 @@
         transaction.conditions.push(condition);
         transaction.deletes.push((Table::Entries, lease_key));
     } else {
-        let revision = row.map(|row| row.revision).unwrap_or_default();
+        let revision = row.map_or(Revision::ABSENT, |row| row.revision);
         transaction
             .conditions
             .push((Table::Entries, lease_key, revision));
