refactor: a failure detector and its suspicions by the field's names

Doubts, vouching and hearing are a failure detector, its suspicions and reports; groups are dissolved, not given up; statuses that say not run are named so. Log events instance_doubted and instance_trusted are instance_suspected and instance_restored. Behaviour and assertions stay.

--- a/crates/cyclamen-entry/src/tasks/gossip.rs
+++ b/crates/cyclamen-entry/src/tasks/gossip.rs
@@ -86,7 +86,7 @@
         strikes: state.suspects.strikes().take(NOTICE_LIMIT).collect(),
         delta: delta.unwrap_or_default(),
         loads: Vec::new(),
-        doubts: Vec::new(),
+        suspected: Vec::new(),
     }
 }
 
--- a/crates/cyclamen-gateway/src/front/answer.rs
+++ b/crates/cyclamen-gateway/src/front/answer.rs
@@ -13,12 +13,12 @@
     NotRun,
     /// The worker failed the request, which has run.
     Failed,
-    /// It is not an answer to this request, or promises what the worker did not say.
+    /// It is not an answer to this request, or its status says more than the worker did.
     Foreign,
 }
 
-/// Statuses that promise callers that the request has not run.
-const PROMISES: [u16; 4] = [408, 421, 429, 503];
+/// Statuses by which callers learn that a request has not run.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// Judges the head of a worker's answer.
 pub(crate) fn judge(job: &Job, answer: &Answer) -> Verdict {
@@ -30,7 +30,7 @@
     if echoed.is_some_and(|echoed| *echoed != *job.id) {
         return Verdict::Foreign;
     }
-    if PROMISES.contains(&answer.status) {
+    if NOT_RUN_STATUSES.contains(&answer.status) {
         return Verdict::Foreign;
     }
     if answer.status >= 500 {
--- a/crates/cyclamen-gateway/src/node/beliefs.rs
+++ b/crates/cyclamen-gateway/src/node/beliefs.rs
@@ -182,11 +182,11 @@
     }
 
     /// Takes note that a worker left questions unanswered; whether that is news.
-    pub(crate) fn doubt(&mut self, now: Time, start: &Start) -> bool {
-        let news = self.doubts.silent(now, start);
+    pub(crate) fn suspect(&mut self, now: Time, start: &Start) -> bool {
+        let news = self.detector.suspect(now, start);
         if news {
             log::info!(
-                "event=instance_doubted instance={} incarnation={}",
+                "event=instance_suspected instance={} incarnation={}",
                 start.instance,
                 start.incarnation
             );
@@ -196,10 +196,10 @@
     }
 
     /// Takes note that a worker answers.
-    pub(crate) fn trust(&mut self, now: Time, start: &Start) {
-        if self.doubts.answered(now, start) {
+    pub(crate) fn restore(&mut self, now: Time, start: &Start) {
+        if self.detector.restore(now, start) {
             log::info!(
-                "event=instance_trusted instance={} incarnation={}",
+                "event=instance_restored instance={} incarnation={}",
                 start.instance,
                 start.incarnation
             );
@@ -207,19 +207,19 @@
         }
     }
 
-    /// Takes note of what another entry doubts; the listed workers to be asked now.
-    pub(crate) fn hear_doubts(
+    /// Takes note of what another entry suspects; the listed workers to be asked now.
+    pub(crate) fn take_suspicions(
         &mut self,
         now: Time,
         entry: &entry::Name,
-        doubted: impl IntoIterator<Item = Start>,
+        suspected: impl IntoIterator<Item = Start>,
     ) -> Vec<Arc<Instance>> {
         let register = &self.register;
-        let listed = doubted.into_iter().filter(|start| {
+        let listed = suspected.into_iter().filter(|start| {
             let known = register.get(&start.instance);
             known.is_some_and(|e| e.instance.incarnation == start.incarnation)
         });
-        let to_ask = self.doubts.hear(now, entry, listed);
+        let to_ask = self.detector.report(now, entry, listed);
         if !to_ask.is_empty() {
             self.refresh_targets(now);
         }
@@ -227,17 +227,17 @@
         entries.map(|entry| entry.instance.clone()).collect()
     }
 
-    /// Forgets doubts that nobody has confirmed, and instances that did not come back.
+    /// Forgets suspicions that nobody has confirmed, and instances that did not come back.
     pub(crate) fn expire_beliefs(&mut self, now: Time) {
-        let trusted = self.doubts.expire(now);
+        let restored = self.detector.expire(now);
         let gone = self.register.expire(now);
-        if gone || trusted {
+        if gone || restored {
             self.refresh_targets(now);
         }
     }
 
     /// Whether a worker should get no new work, as far as is known.
-    pub(crate) fn is_doubted(&self, instance: &Instance) -> bool {
-        self.doubts.is_doubted(&Start::from(instance))
+    pub(crate) fn is_suspected(&self, instance: &Instance) -> bool {
+        self.detector.is_suspected(&Start::from(instance))
     }
 }
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -8,7 +8,7 @@
 use cyclamen_dispatch::{Cell, Dispatcher, Retries, Share, cell};
 use cyclamen_domain::Owner;
 use cyclamen_lease::Holder;
-use cyclamen_replica::Doubts;
+use cyclamen_replica::Detector;
 use cyclamen_route::{Suspects, suspect};
 use cyclamen_types::{Time, entry, instance, pool, zone};
 use rand::rngs::SmallRng;
@@ -28,7 +28,7 @@
     pub(crate) register: Register,
     pub(crate) dispatcher: Dispatcher,
     /// Which workers are there.
-    pub(crate) doubts: Doubts,
+    pub(crate) detector: Detector,
     /// Rows of the tables that are followed, for other entries.
     pub(crate) rows: Cache,
     /// Up to which revision each followed table is known.
@@ -67,7 +67,7 @@
             zones_out: BTreeSet::new(),
             register: Register::default(),
             dispatcher: Dispatcher::new(cyclamen_dispatch::Options::default()),
-            doubts: Doubts::default(),
+            detector: Detector::default(),
             rows: Cache::default(),
             positions: BTreeMap::new(),
             reached: VecDeque::new(),
--- a/crates/cyclamen-gateway/src/node/targets.rs
+++ b/crates/cyclamen-gateway/src/node/targets.rs
@@ -21,7 +21,7 @@
         };
         let same_start = |m: &Arc<Instance>| m.incarnation == target.incarnation;
         let same = group.fence == target.fence && group.head().is_some_and(same_start);
-        !same || group.members.values().any(|m| self.is_doubted(m))
+        !same || group.members.values().any(|m| self.is_suspected(m))
     }
 
     /// Works out which workers take requests.
@@ -58,7 +58,7 @@
     fn heads(&self, now: Time, service: &Service, engine: &Engine) -> Vec<Target> {
         let groups = self.groups(service);
         let serving = groups.iter().filter(|group| {
-            let state = group.state(engine, |m| self.is_doubted(m));
+            let state = group.state(engine, |m| self.is_suspected(m));
             let leaves = |m: &Arc<Instance>| m.status == Status::Leaving;
             state == GroupState::Serving && !group.members.values().any(leaves)
         });
@@ -80,7 +80,7 @@
     fn plain_workers(&self, now: Time, service: &Service) -> Vec<Target> {
         let workers = self.register.entries();
         let mine = workers.filter(|entry| entry.instance.service == service.name);
-        let answering = mine.filter(|entry| !self.is_doubted(&entry.instance));
+        let answering = mine.filter(|entry| !self.is_suspected(&entry.instance));
         answering
             .filter_map(|entry| self.target(now, service, entry, group::Fence::default()))
             .collect()
--- a/crates/cyclamen-gateway/src/tasks/check.rs
+++ b/crates/cyclamen-gateway/src/tasks/check.rs
@@ -12,7 +12,7 @@
 use crate::settings::span;
 use crate::tasks::tell_all;
 
-/// Questions that a worker leaves unanswered before it is doubted.
+/// Questions that a worker leaves unanswered before it is suspected.
 const QUESTIONS: u32 = 2;
 /// The least time between two checks of one group.
 const CHECK_EVERY: Duration = Duration::from_millis(250);
@@ -51,18 +51,18 @@
     }
 }
 
-/// Asks one worker, and doubts it if it does not answer.
+/// Asks one worker, and suspects it if it does not answer.
 pub(super) fn check_worker(node: &Arc<Node>, worker: Arc<Instance>) {
     let node = node.clone();
     let checking = async move {
         let start = Start::from(worker.as_ref());
         if answers(&node, worker.address).await {
             let now = node.now();
-            node.state().trust(now, &start);
+            node.state().restore(now, &start);
             return;
         }
         let now = node.now();
-        let news = node.state().doubt(now, &start);
+        let news = node.state().suspect(now, &start);
         if news {
             tell_all(&node);
             node.wake_planner();
@@ -81,7 +81,7 @@
     false
 }
 
-/// Asks again the workers that are doubted, and members of groups in own domains that are
+/// Asks again the workers that are suspected, and members of groups in own domains that are
 /// no longer listed, which may end their work or be gone.
 pub(super) fn recheck(node: &Arc<Node>) {
     let workers: Vec<Arc<Instance>> = {
@@ -92,7 +92,7 @@
             let domain = instance.domain.as_ref();
             let own = domain.is_some_and(|d| state.ownership.planners.contains_key(d));
             let departed = own && entry.has_departed() && instance.membership.is_some();
-            departed || state.doubts.is_own(&Start::from(instance.as_ref()))
+            departed || state.detector.is_own(&Start::from(instance.as_ref()))
         });
         due.map(|entry| entry.instance.clone()).collect()
     };
--- a/crates/cyclamen-gateway/src/tasks/news.rs
+++ b/crates/cyclamen-gateway/src/tasks/news.rs
@@ -168,7 +168,7 @@
     let rows: Vec<Row> = news.delta.rows.into_iter().filter_map(row).collect();
     let some_rows = !rows.is_empty();
     state.take_rows(now, node.platform.as_ref(), rows);
-    let to_ask = state.hear_doubts(now, &sender, news.doubts);
+    let to_ask = state.take_suspicions(now, &sender, news.suspected);
     drop(state);
     for worker in to_ask {
         check_worker(node, worker);
@@ -217,7 +217,7 @@
         strikes: state.suspects.strikes().take(STRIKE_LIMIT).collect(),
         delta: Delta::default(),
         loads: state.dispatcher.loads(),
-        doubts: state.doubts.own().cloned().collect(),
+        suspected: state.detector.own().cloned().collect(),
     }
 }
 
--- a/crates/cyclamen-gateway/src/tasks/plan.rs
+++ b/crates/cyclamen-gateway/src/tasks/plan.rs
@@ -78,14 +78,14 @@
     });
     here.map(|entry| {
         let start = Start::from(entry.instance.as_ref());
-        let doubted = state.doubts.is_doubted(&start);
+        let suspected = state.detector.is_suspected(&start);
         // That a worker is not listed any more is a second opinion.
-        let gone = entry.has_departed() && doubted;
+        let gone = entry.has_departed() && suspected;
         Worker {
             instance: entry.instance.clone(),
-            answers: !gone && !state.doubts.is_lost(now, &start),
+            answers: !gone && !state.detector.is_failed(now, &start),
             listed: entry.is_listed(),
-            doubted,
+            suspected,
             zone_in: !state.zones_out.contains(&entry.instance.zone),
         }
     })
@@ -103,7 +103,7 @@
             .members
             .values()
             .any(|m| m.domain.as_ref() == Some(domain));
-        let partial = group.state(engine, |m| state.is_doubted(m)) == GroupState::Partial;
+        let partial = group.state(engine, |m| state.is_suspected(m)) == GroupState::Partial;
         if let Some(model) = group.model.clone().filter(|_| !here && !partial) {
             *mix.entry(model).or_default() += 1;
         }
--- a/crates/cyclamen-peer/schema/peer.capnp
+++ b/crates/cyclamen-peer/schema/peer.capnp
@@ -42,7 +42,7 @@
   # Prompt tokens of those that have not begun to answer.
 }
 
-struct Doubt {
+struct Start {
   instance @0 :Text;
   incarnation @1 :UInt64;
 }
@@ -56,8 +56,8 @@
   # Rows that the receiver lacks, as far as the sender knows.
   loads @5 :List(Load);
   # Requests of the sender in progress on each worker.
-  doubts @6 :List(Doubt);
-  # Workers that do not answer the sender.
+  suspected @6 :List(Start);
+  # Starts of workers that do not answer the sender.
   operatorsAsOf @7 :UInt64;
   # The revision up to which the sender knows what operators wrote.
 }
--- a/crates/cyclamen-peer/src/decode.rs
+++ b/crates/cyclamen-peer/src/decode.rs
@@ -80,7 +80,7 @@
     })
 }
 
-fn doubt(from: wire::doubt::Reader<'_>) -> Result<Start, Error> {
+fn start(from: wire::start::Reader<'_>) -> Result<Start, Error> {
     Ok(Start {
         instance: text(from.get_instance()?)?,
         incarnation: instance::Incarnation(from.get_incarnation()),
@@ -108,10 +108,10 @@
             .iter()
             .map(load)
             .collect::<Result<_, _>>()?,
-        doubts: from
-            .get_doubts()?
+        suspected: from
+            .get_suspected()?
             .iter()
-            .map(doubt)
+            .map(start)
             .collect::<Result<_, _>>()?,
     })
 }
--- a/crates/cyclamen-peer/src/encode.rs
+++ b/crates/cyclamen-peer/src/encode.rs
@@ -64,9 +64,9 @@
     to.set_backlog(load.backlog);
 }
 
-fn doubt(mut to: wire::doubt::Builder<'_>, doubt: &Start) {
-    to.set_instance(doubt.instance.as_str());
-    to.set_incarnation(doubt.incarnation.0);
+fn start(mut to: wire::start::Builder<'_>, start: &Start) {
+    to.set_instance(start.instance.as_str());
+    to.set_incarnation(start.incarnation.0);
 }
 
 pub(crate) fn news(mut to: wire::news::Builder<'_>, news: &News) {
@@ -85,9 +85,9 @@
     for (i, each) in (0..).zip(&news.loads) {
         load(loads.reborrow().get(i), each);
     }
-    let mut doubts = to.reborrow().init_doubts(count(news.doubts.len()));
-    for (i, each) in (0..).zip(&news.doubts) {
-        doubt(doubts.reborrow().get(i), each);
+    let mut suspected = to.reborrow().init_suspected(count(news.suspected.len()));
+    for (i, each) in (0..).zip(&news.suspected) {
+        start(suspected.reborrow().get(i), each);
     }
     delta(to.init_delta(), &news.delta);
 }
--- a/crates/cyclamen-peer/src/message.rs
+++ b/crates/cyclamen-peer/src/message.rs
@@ -29,8 +29,8 @@
     pub delta: Delta,
     /// The sender's requests in progress on each worker.
     pub loads: Vec<Load>,
-    /// Workers that do not answer the sender.
-    pub doubts: Vec<Start>,
+    /// Starts of workers that do not answer the sender.
+    pub suspected: Vec<Start>,
 }
 
 /// The state of one pool in one domain.
--- a/crates/cyclamen-peer/src/peer_capnp.rs
+++ b/crates/cyclamen-peer/src/peer_capnp.rs
@@ -1749,7 +1749,7 @@
     }
 }
 
-pub mod doubt {
+pub mod start {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -1913,7 +1913,7 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(179, 249, 2, 160, 204, 189, 37, 144),
+            ::capnp::word(54, 99, 220, 29, 198, 188, 119, 250),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
@@ -1925,7 +1925,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 68, 111, 117, 98, 116),
+            ::capnp::word(110, 112, 58, 83, 116, 97, 114, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
@@ -1982,7 +1982,7 @@
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-        pub(crate) const TYPE_ID: u64 = 0x9025_bdcc_a002_f9b3;
+        pub(crate) const TYPE_ID: u64 = 0xfa77_bcc6_1ddc_6336;
     }
 }
 
@@ -2092,11 +2092,11 @@
             !self.reader.get_pointer_field(4).is_null()
         }
         #[inline]
-        pub fn get_doubts(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::doubt::Owned>> {
+        pub fn get_suspected(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::start::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_doubts(&self) -> bool {
+        pub fn has_suspected(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
         #[inline]
@@ -2246,19 +2246,19 @@
             !self.builder.is_pointer_field_null(4)
         }
         #[inline]
-        pub fn get_doubts(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::doubt::Owned>> {
+        pub fn get_suspected(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::start::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_doubts(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::doubt::Owned>) -> ::capnp::Result<()> {
+        pub fn set_suspected(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::start::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
         }
         #[inline]
-        pub fn init_doubts(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::doubt::Owned> {
+        pub fn init_suspected(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::start::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
         }
         #[inline]
-        pub fn has_doubts(&self) -> bool {
+        pub fn has_suspected(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
         #[inline]
@@ -2286,7 +2286,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 154] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 155] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(52, 153, 207, 91, 50, 249, 244, 177),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
@@ -2348,17 +2348,17 @@
             ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(238, 160, 2, 162, 185, 8, 188, 205),
@@ -2420,13 +2420,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 111, 117, 98, 116, 115, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(179, 249, 2, 160, 204, 189, 37, 144),
+            ::capnp::word(54, 99, 220, 29, 198, 188, 119, 250),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -2450,7 +2451,7 @@
                 3 => <::capnp::struct_list::Owned<crate::peer_capnp::strike::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::peer_capnp::delta::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::peer_capnp::load::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                6 => <::capnp::struct_list::Owned<crate::peer_capnp::doubt::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::peer_capnp::start::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -2467,7 +2468,7 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,6,5,7,0,3,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,5,7,0,3,2,6];
         pub(crate) const TYPE_ID: u64 = 0xb1f4_f932_5bcf_9934;
     }
 }
--- a/crates/cyclamen-replica/src/doubts.rs
+++ b/crates/cyclamen-replica/src/detector.rs
@@ -1,8 +1,8 @@
-//! Which workers are there, by this entry's own questions and by the word of others.
+//! A failure detector of workers, from this entry's own questions and other entries' suspicions.
 //!
-//! An entry passes on only what it has found out itself. What it hears makes it
-//! ask the worker, and an answer outweighs what is heard, so that a wrong
-//! belief dies out where it arose.
+//! An entry reports only what it has found out itself. A suspicion of another
+//! entry makes it ask the worker, and an answer outweighs such suspicions, so
+//! that a wrong one does not spread.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -28,52 +28,53 @@
     }
 }
 
-/// Durations of doubts.
+/// Durations of a failure detector.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
-    /// How long an answer outweighs what others say.
-    pub vouched: Duration,
+    /// How long an answer outweighs the suspicions of others.
+    pub alive: Duration,
     /// How long a worker has to leave questions unanswered before it counts as
-    /// lost where no other entry says the same.
+    /// failed where no other entry suspects it.
     pub alone: Duration,
-    /// How long a doubt holds that no further question has confirmed.
+    /// How long a suspicion holds that no further question has confirmed.
     pub memory: Duration,
 }
 
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            vouched: Duration::from_secs(1),
+            alive: Duration::from_secs(1),
             alone: Duration::from_millis(600),
             memory: Duration::from_secs(3),
         }
     }
 }
 
-/// A doubt of this entry.
+/// A suspicion of this entry.
 #[derive(Debug, Clone, Copy)]
-struct Doubt {
+struct Suspicion {
     since: Time,
     confirmed: Time,
 }
 
-/// Which workers are there, as far as this entry knows.
+/// A failure detector of workers.
 #[derive(Debug, Default)]
-pub struct Doubts {
+pub struct Detector {
     limits: Limits,
-    own: BTreeMap<Start, Doubt>,
-    heard: BTreeMap<entry::Name, BTreeSet<Start>>,
-    /// Workers that are being asked because of what others say.
+    own: BTreeMap<Start, Suspicion>,
+    reported: BTreeMap<entry::Name, BTreeSet<Start>>,
+    /// Workers that are being asked since another entry suspects them.
     asked: BTreeMap<Start, Time>,
-    vouched: BTreeMap<Start, Time>,
+    /// When each worker last answered.
+    alive: BTreeMap<Start, Time>,
 }
 
-impl Doubts {
+impl Detector {
     /// Takes note that a worker left questions unanswered; whether that is news.
-    pub fn silent(&mut self, now: Time, start: &Start) -> bool {
+    pub fn suspect(&mut self, now: Time, start: &Start) -> bool {
         self.asked.remove(start);
-        self.vouched.remove(start);
-        let first = Doubt {
+        self.alive.remove(start);
+        let first = Suspicion {
             since: now,
             confirmed: now,
         };
@@ -82,47 +83,50 @@
         news
     }
 
-    /// Takes note that a worker answered; whether it was doubted.
-    pub fn answered(&mut self, now: Time, start: &Start) -> bool {
-        self.vouched.insert(start.clone(), now);
+    /// Takes note that a worker answered; whether it was suspected.
+    pub fn restore(&mut self, now: Time, start: &Start) -> bool {
+        self.alive.insert(start.clone(), now);
         let asked = self.asked.remove(start).is_some();
         self.own.remove(start).is_some() || asked
     }
 
-    /// Takes note of all that another entry doubts; the workers to be asked now.
-    pub fn hear(
+    /// Takes note of all that another entry suspects; the workers to be asked now.
+    pub fn report(
         &mut self,
         now: Time,
         entry: &entry::Name,
-        doubted: impl IntoIterator<Item = Start>,
+        suspected: impl IntoIterator<Item = Start>,
     ) -> Vec<Start> {
-        let doubted: BTreeSet<Start> = doubted.into_iter().collect();
-        let vouched = |start: &Start| {
-            let answered = self.vouched.get(start);
-            answered.is_some_and(|at| now.since(*at) < self.limits.vouched)
+        let suspected: BTreeSet<Start> = suspected.into_iter().collect();
+        let alive = |start: &Start| {
+            let answered = self.alive.get(start);
+            answered.is_some_and(|at| now.since(*at) < self.limits.alive)
         };
         let known = |start: &Start| self.own.contains_key(start) || self.asked.contains_key(start);
-        let to_ask = doubted.iter().filter(|s| !vouched(s) && !known(s));
+        let to_ask = suspected.iter().filter(|s| !alive(s) && !known(s));
         let to_ask: Vec<Start> = to_ask.cloned().collect();
         for start in &to_ask {
             self.asked.insert(start.clone(), now);
         }
-        self.heard.insert(entry.clone(), doubted);
+        self.reported.insert(entry.clone(), suspected);
         to_ask
     }
 
     /// Whether a worker should get no new work.
-    pub fn is_doubted(&self, start: &Start) -> bool {
+    pub fn is_suspected(&self, start: &Start) -> bool {
         self.own.contains_key(start) || self.asked.contains_key(start)
     }
 
     /// Whether a worker is to be replaced.
-    pub fn is_lost(&self, now: Time, start: &Start) -> bool {
-        let Some(doubt) = self.own.get(start) else {
+    pub fn is_failed(&self, now: Time, start: &Start) -> bool {
+        let Some(suspicion) = self.own.get(start) else {
             return false;
         };
-        let others = self.heard.values().any(|heard| heard.contains(start));
-        others || now.since(doubt.since) >= self.limits.alone
+        let others = self
+            .reported
+            .values()
+            .any(|reported| reported.contains(start));
+        others || now.since(suspicion.since) >= self.limits.alone
     }
 
     /// Whether this entry has found out itself that a worker does not answer.
@@ -135,16 +139,14 @@
         self.own.keys()
     }
 
-    /// Forgets what is too old; whether any worker is doubted no more.
+    /// Forgets what is too old; whether any worker is suspected no more.
     pub fn expire(&mut self, now: Time) -> bool {
-        let Limits {
-            vouched, memory, ..
-        } = self.limits;
+        let Limits { alive, memory, .. } = self.limits;
         let before = self.own.len() + self.asked.len();
         self.own
-            .retain(|_, doubt| now.since(doubt.confirmed) < memory);
-        self.asked.retain(|_, at| now.since(*at) < vouched);
-        self.vouched.retain(|_, at| now.since(*at) < vouched);
+            .retain(|_, suspicion| now.since(suspicion.confirmed) < memory);
+        self.asked.retain(|_, at| now.since(*at) < alive);
+        self.alive.retain(|_, at| now.since(*at) < alive);
         self.own.len() + self.asked.len() < before
     }
 }
--- a/crates/cyclamen-replica/src/lib.rs
+++ b/crates/cyclamen-replica/src/lib.rs
@@ -5,13 +5,13 @@
 //! ([`Planner`]). The groups themselves are kept by the workers, which refuse
 //! orders with an old fencing number; nothing is formed anew that still serves.
 
-mod doubts;
+mod detector;
 mod groups;
 mod mix;
 mod order;
 mod planner;
 
-pub use doubts::{Doubts, Limits, Start};
+pub use detector::{Detector, Limits, Start};
 pub use groups::{Group, Groups, State};
 pub use mix::{Mix, mix};
 pub use order::{Command, Ending, Order};
--- a/crates/cyclamen-replica/src/planner.rs
+++ b/crates/cyclamen-replica/src/planner.rs
@@ -54,8 +54,8 @@
     pub answers: bool,
     /// Whether it is listed, and not only remembered from before an outage.
     pub listed: bool,
-    /// Whether it is doubted, so that it should begin nothing new.
-    pub doubted: bool,
+    /// Whether it is suspected to have failed, so that it should begin nothing new.
+    pub suspected: bool,
     /// Whether its availability zone takes work.
     pub zone_in: bool,
 }
@@ -97,7 +97,7 @@
     fence: group::Fence,
     sent: BTreeMap<instance::Id, (Order, Time)>,
     forming: BTreeMap<group::Id, Forming>,
-    /// Groups that are being given up, with their heads.
+    /// Groups that are being dissolved, with their heads.
     leaving: BTreeMap<(group::Id, group::Fence), Option<instance::Id>>,
     /// The model of the last group of each start of a worker.
     last_model: BTreeMap<instance::Id, (instance::Incarnation, model::Name)>,
@@ -191,7 +191,7 @@
         self.warming.retain(|_, at| scene.now.since(*at) < warming);
     }
 
-    /// Closes groups that lose a member soon and gives up those that cannot serve any more.
+    /// Closes groups that lose a member soon and dissolves those that cannot serve any more.
     fn follow_standing(&mut self, scene: &Scene<'_>, groups: &Groups, orders: &mut Vec<Command>) {
         for group in groups.iter() {
             if self.forming.contains_key(&group.id) || self.is_warming(scene, group) {
@@ -211,13 +211,13 @@
                 State::Serving => {}
                 // A member may still get a late order to join another group that was
                 // to take its place, so a group that is not being formed is not opened.
-                State::Ready | State::Partial => self.give_up(scene, group, orders),
+                State::Ready | State::Partial => self.dissolve(scene, group, orders),
             }
         }
     }
 
     /// Has every member that answers leave the group.
-    fn give_up(&mut self, scene: &Scene<'_>, group: &Group, orders: &mut Vec<Command>) {
+    fn dissolve(&mut self, scene: &Scene<'_>, group: &Group, orders: &mut Vec<Command>) {
         let key = (group.id.clone(), group.fence);
         let head = group.head().map(|h| h.id.clone());
         self.leaving.entry(key).or_insert(head);
@@ -234,7 +234,7 @@
 
     /// The workers that may join a group.
     ///
-    /// While the head of a group that was given up still answers as its head,
+    /// While the head of a group that is being dissolved still answers as its head,
     /// those that have left it wait.
     fn free<'a>(&self, scene: &Scene<'a>, groups: &Groups) -> Vec<&'a Worker> {
         let heads_stay = self.leaving.keys().any(|(id, fence)| {
@@ -250,7 +250,7 @@
         workers
             .filter(|w| {
                 let instance = &w.instance;
-                let present = w.answers && w.listed && !w.doubted;
+                let present = w.answers && w.listed && !w.suspected;
                 let ready = present && w.zone_in && instance.status == Status::Ready;
                 let passed_over = self.passed_over.contains_key(&instance.id);
                 let member = instance.membership.is_some() || joining.contains(&instance.id);
@@ -266,9 +266,9 @@
             *mix.entry(forming.model.clone()).or_default() += 1;
         }
         for group in groups.iter().filter(|g| !self.forming.contains_key(&g.id)) {
-            let given_up = self.leaving.contains_key(&(group.id.clone(), group.fence));
+            let dissolved = self.leaving.contains_key(&(group.id.clone(), group.fence));
             let partial = group.state(scene.engine, |m| scene.lost(m)) == State::Partial;
-            if let Some(model) = group.model.clone().filter(|_| !given_up && !partial) {
+            if let Some(model) = group.model.clone().filter(|_| !dissolved && !partial) {
                 *mix.entry(model).or_default() += 1;
             }
         }
--- /dev/null
+++ b/crates/cyclamen-replica/tests/replica/detector.rs
@@ -0,0 +1,108 @@
+//! Which workers count as failed, by own questions and by the suspicions of others.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cyclamen_replica::{Detector, Start};
+use cyclamen_types::{Time, entry, instance};
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn start(name: &str) -> Start {
+    Start {
+        instance: name.parse().unwrap(),
+        incarnation: instance::Incarnation(1),
+    }
+}
+
+fn entry(name: &str) -> entry::Name {
+    name.parse().unwrap()
+}
+
+/// Two entries that report their suspicions to each other, as news does.
+fn exchange(now: Time, one: &mut Detector, other: &mut Detector) {
+    let told: Vec<Start> = one.own().cloned().collect();
+    other.report(now, &entry("one"), told);
+    let told: Vec<Start> = other.own().cloned().collect();
+    one.report(now, &entry("other"), told);
+}
+
+#[test]
+fn a_wrong_suspicion_does_not_spread() {
+    let worker = start("w");
+    let (mut one, mut other) = (Detector::default(), Detector::default());
+    one.suspect(at(0), &worker);
+    exchange(at(10), &mut one, &mut other);
+    assert!(other.is_suspected(&worker));
+    // The worker answers both; no report may bring the suspicion back.
+    other.restore(at(20), &worker);
+    one.restore(at(30), &worker);
+    for round in 0..20 {
+        exchange(at(40 + round * 50), &mut one, &mut other);
+        assert!(!one.is_suspected(&worker), "round {round}");
+        assert!(!other.is_suspected(&worker), "round {round}");
+    }
+}
+
+#[test]
+fn a_reported_suspicion_makes_an_entry_ask_once() {
+    let worker = start("w");
+    let mut detector = Detector::default();
+    let told = [worker.clone()];
+    assert_eq!(
+        detector.report(at(0), &entry("other"), told.clone()),
+        vec![worker.clone()]
+    );
+    assert!(detector.report(at(10), &entry("other"), told).is_empty());
+    assert_eq!(detector.own().count(), 0);
+}
+
+#[test]
+fn an_answer_outweighs_reported_suspicions_for_a_while() {
+    let worker = start("w");
+    let mut detector = Detector::default();
+    detector.restore(at(0), &worker);
+    let told = [worker.clone()];
+    assert!(
+        detector
+            .report(at(500), &entry("other"), told.clone())
+            .is_empty()
+    );
+    assert!(!detector.is_suspected(&worker));
+    assert_eq!(detector.report(at(1_500), &entry("other"), told).len(), 1);
+}
+
+macro_rules! failed {
+    ($($name:ident: $others:expr, $after:expr => $failed:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let worker = start("w");
+                let mut detector = Detector::default();
+                detector.suspect(at(0), &worker);
+                let told: BTreeSet<Start> = $others.into_iter().map(start).collect();
+                detector.report(at(1), &entry("other"), told);
+                assert_eq!(detector.is_failed(at($after), &worker), $failed);
+            }
+        )*
+    };
+}
+
+failed! {
+    a_worker_that_two_entries_suspect_has_failed_at_once: ["w"], 2 => true;
+    a_worker_that_one_entry_suspects_has_not_failed_at_once: [], 500 => false;
+    a_worker_that_one_entry_suspects_for_long_has_failed: [], 600 => true;
+    suspicions_of_another_worker_do_not_count: ["v"], 2 => false;
+}
+
+#[test]
+fn a_suspicion_that_is_not_confirmed_is_forgotten() {
+    let worker = start("w");
+    let mut detector = Detector::default();
+    detector.suspect(at(0), &worker);
+    assert!(!detector.expire(at(2_900)));
+    assert!(detector.expire(at(0) + Duration::from_secs(3)));
+    assert!(!detector.is_suspected(&worker));
+}
--- a/crates/cyclamen-replica/tests/replica/world.rs
+++ b/crates/cyclamen-replica/tests/replica/world.rs
@@ -318,7 +318,7 @@
                     instance: Arc::new(instance),
                     answers: !silent,
                     listed: true,
-                    doubted: silent,
+                    suspected: silent,
                     zone_in: true,
                 }
             })
