fix: a suspicion that another entry reported long ago is no second opinion

Cause: found in reading: the last report of an entry that has gone counted for ever, so that one entry's own suspicion would have had a worker replaced at once. Test: an_old_report_is_no_second_opinion, which failed first.

--- a/crates/cyclamen-replica/src/detector.rs
+++ b/crates/cyclamen-replica/src/detector.rs
@@ -36,7 +36,7 @@
     /// How long a worker has to leave questions unanswered before it counts as
     /// failed where no other entry suspects it.
     pub alone: Duration,
-    /// How long a suspicion holds that no further question has confirmed.
+    /// How long a suspicion holds that no further question or report has confirmed.
     pub memory: Duration,
 }
 
@@ -62,7 +62,8 @@
 pub struct Detector {
     limits: Limits,
     own: BTreeMap<Start, Suspicion>,
-    reported: BTreeMap<entry::Name, BTreeSet<Start>>,
+    /// What each other entry suspected when it last reported.
+    reported: BTreeMap<entry::Name, (Time, BTreeSet<Start>)>,
     /// Workers that are being asked since another entry suspects them.
     asked: BTreeMap<Start, Time>,
     /// When each worker last answered.
@@ -108,7 +109,7 @@
         for start in &to_ask {
             self.asked.insert(start.clone(), now);
         }
-        self.reported.insert(entry.clone(), suspected);
+        self.reported.insert(entry.clone(), (now, suspected));
         to_ask
     }
 
@@ -122,10 +123,9 @@
         let Some(suspicion) = self.own.get(start) else {
             return false;
         };
-        let others = self
-            .reported
-            .values()
-            .any(|reported| reported.contains(start));
+        let fresh = |at: Time| now.since(at) < self.limits.memory;
+        let mut reports = self.reported.values();
+        let others = reports.any(|(at, reported)| fresh(*at) && reported.contains(start));
         others || now.since(suspicion.since) >= self.limits.alone
     }
 
@@ -146,6 +146,7 @@
         self.own
             .retain(|_, suspicion| now.since(suspicion.confirmed) < memory);
         self.asked.retain(|_, at| now.since(*at) < alive);
+        self.reported.retain(|_, (at, _)| now.since(*at) < memory);
         self.alive.retain(|_, at| now.since(*at) < alive);
         self.own.len() + self.asked.len() < before
     }
--- a/crates/cyclamen-replica/tests/replica/detector.rs
+++ b/crates/cyclamen-replica/tests/replica/detector.rs
@@ -106,3 +106,16 @@
     assert!(detector.expire(at(0) + Duration::from_secs(3)));
     assert!(!detector.is_suspected(&worker));
 }
+
+#[test]
+fn an_old_report_is_no_second_opinion() {
+    let worker = start("w");
+    let mut detector = Detector::default();
+    detector.report(at(0), &entry("silent"), [worker.clone()]);
+    detector.restore(at(10), &worker);
+    // The other entry has said nothing since.
+    detector.suspect(at(5_000), &worker);
+    assert!(!detector.is_failed(at(5_001), &worker));
+    detector.report(at(5_100), &entry("silent"), [worker.clone()]);
+    assert!(detector.is_failed(at(5_101), &worker));
+}
