fix: tell the other entries of a crash before its request goes on

Cause: a strike against a request was told to the other entries by a detached task. A caller that repeated the request at once through another entry could be admitted there before the news came, so that a harmful request took down one group more than its limit of two. This is the test `a_request_that_crashes_engines_is_refused_for_good` failing now and then (crashes: 3). Ruled out: lost news (it always came) and a miscount of fingerprints. Change: the request waits until the others have the news, at most 200 ms.

--- a/crates/cyclamen-entry/src/caller/completion/job.rs
+++ b/crates/cyclamen-entry/src/caller/completion/job.rs
@@ -49,7 +49,7 @@
         loop {
             let mut open = match self.open.take() {
                 Some(open) => open,
-                None => self.connect().await?,
+                None => Box::pin(self.connect()).await?,
             };
             match open.stream.next().await {
                 Ok(Chunk::End) => {
@@ -63,7 +63,7 @@
                     self.open = Some(open);
                     return Ok(part);
                 }
-                Err(cause) => self.broke(open, cause)?,
+                Err(cause) => self.broke(open, cause).await?,
             }
         }
     }
@@ -161,7 +161,7 @@
                 admitted.end(Ending::Failed);
                 self.trail.sent |= !matches!(error, cyclamen_http::Error::NotSent);
                 if matches!(error, cyclamen_http::Error::Closed) {
-                    self.strike(&admitted);
+                    self.strike(&admitted).await;
                 }
                 self.trail.again(&self.node)?;
                 Ok(None)
@@ -185,7 +185,7 @@
     }
 
     /// Takes note of a broken stream; another group goes on where it ended.
-    fn broke(&mut self, mut open: Open, cause: Break) -> Result<(), Refusal> {
+    async fn broke(&mut self, mut open: Open, cause: Break) -> Result<(), Refusal> {
         log::warn!(
             "event=stream_broken id={} group={} position={} cause={cause:?}",
             self.id,
@@ -195,7 +195,7 @@
         open.hop.fail(&"the stream broke");
         open.admitted.end(Ending::Failed);
         if cause == Break::Closed {
-            self.strike(&open.admitted);
+            self.strike(&open.admitted).await;
         }
         drop(open);
         self.trail.again(&self.node)?;
@@ -203,8 +203,9 @@
         Ok(())
     }
 
-    /// Counts a crash against the request, and tells the other entries.
-    fn strike(&self, admitted: &Admitted) {
+    /// Counts a crash against the request, and tells the other entries before the
+    /// request ends: its caller may repeat it through any of them.
+    async fn strike(&self, admitted: &Admitted) {
         let strike = Strike {
             fingerprint: self.fingerprint.clone(),
             crash: Crash {
@@ -216,7 +217,7 @@
         let now = self.node.now();
         let news = self.node.state().suspects.strike(now, strike);
         if news {
-            tasks::tell_all(&self.node);
+            tasks::tell_all_now(&self.node).await;
         }
     }
 }
--- a/crates/cyclamen-entry/src/caller/mod.rs
+++ b/crates/cyclamen-entry/src/caller/mod.rs
@@ -22,11 +22,14 @@
 pub(crate) struct Api(pub(crate) Arc<Node>);
 
 impl Handler for Api {
+    // The futures of requests are boxed: the server polls through many layers, each
+    // of which would hold a copy on a thread's stack.
     async fn run(&self, mut conn: Conn) -> Conn {
+        let node = &self.0;
         let answered = match (conn.method(), conn.path()) {
-            (Method::Post, COMPLETIONS) => completion::answer(&self.0, &mut conn).await,
-            (Method::Get, MODELS) => models::answer(&self.0, &mut conn),
-            _ => plain::answer(&self.0, &mut conn).await,
+            (Method::Post, COMPLETIONS) => Box::pin(completion::answer(node, &mut conn)).await,
+            (Method::Get, MODELS) => models::answer(node, &mut conn),
+            _ => Box::pin(plain::answer(node, &mut conn)).await,
         };
         match answered {
             Ok(()) => conn.halt(),
--- a/crates/cyclamen-entry/src/tasks/gossip.rs
+++ b/crates/cyclamen-entry/src/tasks/gossip.rs
@@ -1,17 +1,22 @@
 //! Exchanges news with other entries.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cyclamen_cache::Revision;
 use cyclamen_domain::Owner;
 use cyclamen_peer::News;
 use cyclamen_peer::message::Notice;
+use futures::future::join_all;
 use rand::seq::IteratorRandom;
 
 use crate::node::{Node, State};
 
 /// Summaries and strikes in one exchange.
 const NOTICE_LIMIT: usize = 32;
+/// The longest a request waits until the other entries know that it crashed a group.
+const TELL_TIME: Duration = Duration::from_millis(200);
 
 /// Exchanges news with one other entry at random.
 pub(crate) async fn step(node: &Arc<Node>) {
@@ -101,26 +106,47 @@
     notices.take(NOTICE_LIMIT).collect()
 }
 
-/// Tells every other entry at once, as after a crash that may come again.
+/// Tells every other entry, without waiting for them.
 pub(crate) fn tell_all(node: &Arc<Node>) {
-    let targets: Vec<_> = {
-        let state = node.state();
-        let others = state
-            .entries
-            .iter()
-            .filter(|(owner, _): &(&Owner, _)| **owner != state.me);
-        others
-            .take(NOTICE_LIMIT)
-            .map(|(_, entry)| entry.peer)
-            .collect()
+    let node = node.clone();
+    smol::spawn(async move { tell(&node).await }).detach();
+}
+
+/// Tells every other entry and waits until they have taken the news in, at most
+/// [`TELL_TIME`].
+pub(crate) async fn tell_all_now(node: &Arc<Node>) {
+    let limit = async {
+        smol::Timer::after(TELL_TIME).await;
+        log::warn!("event=telling_timed_out");
+    };
+    smol::future::or(tell(node), limit).await;
+}
+
+async fn tell(node: &Arc<Node>) {
+    let Some(peers) = node.peers() else {
+        return;
     };
-    for address in targets {
-        let node = node.clone();
-        smol::spawn(async move {
-            if let Some(peers) = node.peers() {
-                let _ = peers.gossip(address, news(&node, None)).await;
+    let news = news(node, None);
+    let told = others(node).into_iter().map(|(owner, address)| {
+        let exchange = peers.gossip(address, news.clone());
+        async move {
+            if let Err(error) = exchange.await {
+                log::debug!("event=gossip_failed entry={owner} reason=\"{error}\"");
             }
-        })
-        .detach();
-    }
+        }
+    });
+    join_all(told).await;
+}
+
+/// The other entries to tell, at most [`NOTICE_LIMIT`].
+fn others(node: &Node) -> Vec<(Owner, SocketAddr)> {
+    let state = node.state();
+    let others = state
+        .entries
+        .iter()
+        .filter(|(owner, _)| **owner != state.me);
+    others
+        .take(NOTICE_LIMIT)
+        .map(|(owner, entry)| (owner.clone(), entry.peer))
+        .collect()
 }
--- a/crates/cyclamen-entry/src/tasks/mod.rs
+++ b/crates/cyclamen-entry/src/tasks/mod.rs
@@ -18,7 +18,7 @@
 use crate::node::Node;
 use crate::settings::span;
 
-pub(crate) use gossip::{answer as answer_news, tell_all};
+pub(crate) use gossip::{answer as answer_news, tell_all, tell_all_now};
 pub(crate) use lease::{announce_drain, resign};
 pub(crate) use own::hand_over_all;
 
