feat: contain requests that crash workers, on the gateway

Cause: on the users' platform a request that crashes each worker that runs it was sent on for as long as its caller repeated it; only the entries of the own protocol contained such requests. Ways weighed: counting every closed connection (a failing worker that cuts connections would condemn good requests), asking the worker first (kept: only the crash of a worker that leaves two questions unanswered counts), and clearing strikes that came together in one domain (dropped here: the request's own retries come together in one domain). Change: three confirmed crashes before an answer began contain a request by route, path, team and body for ten minutes, answered 503 with that time; a whole answer clears its strikes. Strikes are told for 5 s, all of them to an entry that has just started. `Suspects` keeps a strike for twice the time that it counts: entries that learned of it at different times taught each other anew what they had forgotten, without end; a test shows it.

--- a/crates/cyclamen-entry/src/tasks/gossip.rs
+++ b/crates/cyclamen-entry/src/tasks/gossip.rs
@@ -88,7 +88,7 @@
         as_of,
         operators_as_of: as_of,
         summaries: summaries(&state),
-        strikes: state.suspects.strikes().take(NOTICE_LIMIT).collect(),
+        strikes: state.suspects.strikes(now, true, NOTICE_LIMIT),
         delta: delta.unwrap_or_default(),
         loads: Vec::new(),
         suspected: Vec::new(),
--- a/crates/cyclamen-gateway/src/front/job.rs
+++ b/crates/cyclamen-gateway/src/front/job.rs
@@ -1,12 +1,13 @@
 //! A caller's request, checked and read.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use cyclamen_directory::route::Repeat;
 use cyclamen_directory::service::Service;
 use cyclamen_directory::{Route, Team};
 use cyclamen_dispatch::{End, Sent, Want};
+use cyclamen_route::suspect::{Fingerprint, Verdict};
 use cyclamen_types::{Time, instance, model, pool};
 use rand::Rng;
 use trillium::{Conn, Headers, KnownHeaderName, Method};
@@ -15,6 +16,7 @@
 use crate::front::check::{Checked, check, log_refused, read_body};
 use crate::front::refusal::Refusal;
 use crate::node::Node;
+use crate::tasks;
 
 /// Connections to other workers that a request tries after one could not be made.
 const CONNECT_TRIES: u32 = 3;
@@ -42,6 +44,7 @@
     pub(crate) may_have_run: bool,
     unconnected: u32,
     ended: bool,
+    fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Job {
@@ -87,6 +90,7 @@
             may_have_run: false,
             unconnected: 0,
             ended: false,
+            fingerprint: OnceLock::new(),
             service,
             route,
         };
@@ -107,6 +111,7 @@
 
     /// Chooses a worker and counts the request on it.
     pub(crate) fn choose(&mut self) -> Result<Sent, Refusal> {
+        self.judge()?;
         let now = self.node.now();
         let mut guard = self.node.state();
         let state = &mut *guard;
@@ -142,6 +147,53 @@
         })
     }
 
+    /// Refuses a request that crashes the workers that run it.
+    fn judge(&self) -> Result<(), Refusal> {
+        if self.node.state().suspects.is_empty() {
+            return Ok(());
+        }
+        let fingerprint = self.fingerprint();
+        let now = self.node.now();
+        let state = self.node.state();
+        if state.suspects.verdict(now, fingerprint) != Verdict::Condemned {
+            return Ok(());
+        }
+        let lasts = state.suspects.lasts(now, fingerprint);
+        log::warn!(
+            "event=request_contained id={} fingerprint={fingerprint} lasts_ms={}",
+            self.id,
+            lasts.as_millis()
+        );
+        Err(Refusal::not_now("crashes_workers", lasts))
+    }
+
+    /// The identity of the request by its content, whatever its id.
+    fn fingerprint(&self) -> &Fingerprint {
+        self.fingerprint.get_or_init(|| {
+            let team = self.team.as_ref().map_or("", |team| team.name.as_str());
+            Fingerprint::of_parts([
+                self.route.name.as_str().as_bytes(),
+                self.method.as_str().as_bytes(),
+                self.path.as_bytes(),
+                team.as_bytes(),
+                &self.body,
+            ])
+        })
+    }
+
+    /// Takes note that a worker closed the connection before it answered; it may have crashed.
+    pub(crate) fn cut_off(&self, sent: &Sent) {
+        tasks::note_crash(&self.node, &sent.target, &self.id, self.fingerprint());
+    }
+
+    /// Takes note that a worker answered the request whole, so that it crashes none.
+    pub(crate) fn answered_whole(&self) {
+        let mut state = self.node.state();
+        if !state.suspects.is_empty() {
+            state.suspects.acquit(self.fingerprint());
+        }
+    }
+
     /// The rank of the request; the team's goes before the route's.
     pub(crate) fn priority(&self) -> u8 {
         let team = self.team.as_ref().and_then(|team| team.priority);
--- a/crates/cyclamen-gateway/src/front/plain.rs
+++ b/crates/cyclamen-gateway/src/front/plain.rs
@@ -37,6 +37,8 @@
     NotRun,
     /// The worker failed the request, and said so.
     Failed(Box<Whole>),
+    /// The worker closed the connection; the request may have run.
+    Closed,
     /// The request may have run.
     Unknown,
     /// The deadline has passed.
@@ -62,7 +64,10 @@
     loop {
         let sent = job.choose()?;
         match attempt(job, &sent).await {
-            Ok(whole) => return Ok((whole, sent)),
+            Ok(whole) => {
+                job.answered_whole();
+                return Ok((whole, sent));
+            }
             Err(Failure::NotSent) => {
                 tasks::check_target(&job.node, &sent.target);
                 if !job.not_connected(&sent) {
@@ -82,7 +87,10 @@
                     return Ok((*whole, sent));
                 }
             }
-            Err(Failure::Unknown) => {
+            Err(failure @ (Failure::Closed | Failure::Unknown)) => {
+                if matches!(failure, Failure::Closed) {
+                    job.cut_off(&sent);
+                }
                 job.tried.push(sent.target.instance.clone());
                 job.may_have_run = true;
                 if !job.is_repeatable() || !job.may_retry() {
@@ -128,7 +136,8 @@
     let answer = send(job, sent, None).await.map_err(|error| match error {
         Error::NotSent => Failure::NotSent,
         Error::TimedOut => Failure::Late,
-        Error::Closed | Error::Malformed => Failure::Unknown,
+        Error::Closed => Failure::Closed,
+        Error::Malformed => Failure::Unknown,
     })?;
     let verdict = judge(job, &answer);
     match verdict {
@@ -160,6 +169,6 @@
             body,
         }),
         Err(error) if error.kind() == io::ErrorKind::TimedOut => Err(Failure::Late),
-        Err(_) => Err(Failure::Unknown),
+        Err(_) => Err(Failure::Closed),
     }
 }
--- a/crates/cyclamen-gateway/src/front/stream.rs
+++ b/crates/cyclamen-gateway/src/front/stream.rs
@@ -151,6 +151,7 @@
             match self.read(&mut open).await {
                 Ok(Part::End) => {
                     self.job.release(&open.sent, End::Whole, open.started);
+                    self.job.answered_whole();
                     self.job
                         .end("answered", open.answer.status, Some(&open.sent));
                     return Ok(Part::End);
@@ -172,6 +173,9 @@
             End::Failed
         };
         self.job.release(&open.sent, end, open.started);
+        if cause == Break::Closed && !open.started {
+            self.job.cut_off(&open.sent);
+        }
         let id = &self.job.id;
         let instance = &open.sent.target.instance;
         let silent = self.job.node.now().since(open.heard).as_millis();
--- a/crates/cyclamen-gateway/src/front/stream/connect.rs
+++ b/crates/cyclamen-gateway/src/front/stream/connect.rs
@@ -73,6 +73,9 @@
                     false,
                 );
                 self.job.tried.push(sent.target.instance.clone());
+                if matches!(error, Error::Closed) {
+                    self.job.cut_off(&sent);
+                }
                 tasks::check_target(&self.job.node, &sent.target);
                 Err(if late {
                     Miss::Final(Refusal::late())
--- a/crates/cyclamen-gateway/src/node/peers.rs
+++ b/crates/cyclamen-gateway/src/node/peers.rs
@@ -14,6 +14,8 @@
     pub(crate) address: SocketAddr,
     /// Whether it is in the availability zone of this entry.
     pub(crate) near: bool,
+    /// When its present start was first heard of.
+    pub(crate) since: Option<Time>,
     /// When it was last heard of.
     pub(crate) heard: Option<Time>,
     /// Up to which revision it knew the list of instances when it was last heard of.
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 use cyclamen_cache::{Cache, Revision};
 use cyclamen_directory::{Catalog, Register};
@@ -19,6 +20,17 @@
 use crate::node::peers::Peer;
 use crate::settings::{self, Settings, span};
 
+/// Bounds of containment.
+///
+/// A worker's crash takes all requests on it along, so that two strikes may come by chance.
+/// Only crashes that a worker's silence confirms are counted, so none is cleared by others.
+const SUSPECTS: suspect::Options = suspect::Options {
+    strikes: 3,
+    common_cause: Duration::ZERO,
+    lasting: Duration::from_secs(600),
+    telling: Duration::from_secs(5),
+};
+
 /// Everything that this entry knows.
 pub(crate) struct State {
     pub(crate) me: Owner,
@@ -76,7 +88,7 @@
             lease: Holder::new(lease),
             lease_revision: None,
             ownership: Ownership::new(lease),
-            suspects: Suspects::new(suspect::Options::default()),
+            suspects: Suspects::new(SUSPECTS),
             rng,
             draining: false,
             in_progress: 0,
--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -1,6 +1,7 @@
 //! Tasks that keep the node's state up to date.
 
 mod check;
+mod crash;
 mod follow;
 mod lease;
 mod news;
@@ -17,6 +18,7 @@
 use crate::settings::span;
 
 pub(crate) use check::check_target;
+pub(crate) use crash::note as note_crash;
 pub(crate) use lease::resign;
 pub(crate) use news::{answer as answer_news, tell_all};
 
--- a/crates/cyclamen-gateway/src/tasks/check.rs
+++ b/crates/cyclamen-gateway/src/tasks/check.rs
@@ -71,7 +71,8 @@
     smol::spawn(checking).detach();
 }
 
-async fn answers(node: &Arc<Node>, address: SocketAddr) -> bool {
+/// Whether a worker answers one of a few questions.
+pub(super) async fn answers(node: &Arc<Node>, address: SocketAddr) -> bool {
     let timeout = span(node.settings.timing.report_timeout_ms);
     for _ in 0..QUESTIONS {
         if node.platform.answers(address, timeout).await {
--- a/crates/cyclamen-gateway/src/tasks/lease.rs
+++ b/crates/cyclamen-gateway/src/tasks/lease.rs
@@ -156,6 +156,7 @@
                 incarnation,
                 address,
                 near,
+                since: None,
                 heard: None,
                 as_of: Revision::default(),
                 operators_as_of: Revision::default(),
--- a/crates/cyclamen-gateway/src/tasks/news.rs
+++ b/crates/cyclamen-gateway/src/tasks/news.rs
@@ -27,6 +27,8 @@
 const FRESH: Duration = Duration::from_millis(400);
 /// Rows that one piece of news carries at most.
 const ROW_LIMIT: usize = 256;
+/// How long an entry that has started is told what others learned earlier.
+const NEW_ENTRY: Duration = Duration::from_secs(2);
 /// Strikes that one piece of news carries at most.
 const STRIKE_LIMIT: usize = 64;
 
@@ -142,7 +144,7 @@
     let state = node.state();
     match state.peers.get(&sender) {
         Some(peer) => news(&state, now, peer),
-        None => news_without_rows(&state),
+        None => news_without_rows(&state, now, None),
     }
 }
 
@@ -152,6 +154,9 @@
         return;
     }
     if let Some(peer) = state.peers.get_mut(&news.sender.entry) {
+        if peer.since.is_none() || peer.incarnation != news.sender.incarnation {
+            peer.since = Some(now);
+        }
         peer.heard = Some(now);
         peer.as_of = news.as_of;
         peer.operators_as_of = news.operators_as_of;
@@ -185,7 +190,7 @@
 fn news(state: &State, now: Time, peer: &Peer) -> News {
     let fresh = peer.heard.is_some_and(|at| now.since(at) < FRESH);
     if !fresh {
-        return news_without_rows(state);
+        return news_without_rows(state, now, Some(peer));
     }
     let settled = state.settled(now);
     let prefix = |table: Table| format!("{}/", table.as_str());
@@ -204,17 +209,19 @@
     delta.rows.truncate(ROW_LIMIT);
     News {
         delta,
-        ..news_without_rows(state)
+        ..news_without_rows(state, now, Some(peer))
     }
 }
 
-fn news_without_rows(state: &State) -> News {
+fn news_without_rows(state: &State, now: Time, peer: Option<&Peer>) -> News {
+    let since = peer.and_then(|peer| peer.since);
+    let is_new = since.is_none_or(|since| now.since(since) < NEW_ENTRY);
     News {
         sender: state.me.clone(),
         as_of: state.as_of(Table::Instances),
         operators_as_of: state.as_of(Table::Operators),
         summaries: Vec::new(),
-        strikes: state.suspects.strikes().take(STRIKE_LIMIT).collect(),
+        strikes: state.suspects.strikes(now, is_new, STRIKE_LIMIT),
         delta: Delta::default(),
         loads: state.dispatcher.loads(),
         suspected: state.detector.own().cloned().collect(),
--- a/crates/cyclamen-route/src/suspect.rs
+++ b/crates/cyclamen-route/src/suspect.rs
@@ -4,7 +4,9 @@
 //! and through another entry. Every group that closes its connection while a
 //! request runs counts one strike against it. A request with a strike is a
 //! suspect: at most one suspect runs on a group at a time, so that a second
-//! crash is laid on one request only. At the limit it is refused for good.
+//! crash is laid on one request only. At the limit it is refused while its
+//! strikes count. A request that is answered whole does not crash groups; its
+//! earlier strikes no longer count.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -19,6 +21,8 @@
 /// Fields of a request that differ between two tries of the same content.
 const VOLATILE_FIELDS: [&str; 4] = ["user", "metadata", "request_id", "seed"];
 const FINGERPRINT_BYTES: usize = 16;
+/// Strikes that are kept; beyond it the oldest are forgotten.
+const STRIKE_LIMIT: usize = 4_096;
 
 /// A digest of the content of a request.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -38,6 +42,20 @@
             }
             Err(_) => hasher.update(body),
         }
+        Self::from_hasher(hasher)
+    }
+
+    /// The fingerprint of a request by its parts, each compared byte by byte.
+    pub fn of_parts<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self::from_hasher(hasher)
+    }
+
+    fn from_hasher(hasher: Sha256) -> Self {
         let digest = hasher.finalize();
         let digits = digest
             .iter()
@@ -97,10 +115,12 @@
 pub struct Options {
     /// Groups that one request may take down.
     pub strikes: usize,
-    /// Crashes of two groups of one domain within this time have a common cause.
+    /// Crashes of two groups of one domain in less than this time have a common cause.
     pub common_cause: Duration,
     /// How long a strike counts.
     pub lasting: Duration,
+    /// How long a strike is told to entries that may have heard of it already.
+    pub telling: Duration,
 }
 
 impl Default for Options {
@@ -109,15 +129,24 @@
             strikes: 2,
             common_cause: Duration::from_secs(3),
             lasting: Duration::from_secs(3600),
+            telling: Duration::from_secs(600),
         }
     }
 }
 
+/// A strike that is known.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    at: Time,
+    /// Whether the request was answered whole since.
+    acquitted: bool,
+}
+
 /// The strikes that an entry knows of.
 #[derive(Debug)]
 pub struct Suspects {
     options: Options,
-    strikes: BTreeMap<Fingerprint, BTreeMap<Crash, Time>>,
+    strikes: BTreeMap<Fingerprint, BTreeMap<Crash, Seen>>,
     crashes: BTreeMap<Crash, Time>,
     cleared: BTreeSet<Crash>,
 }
@@ -141,7 +170,11 @@
         if strikes.contains_key(&crash) {
             return false;
         }
-        strikes.insert(crash.clone(), now);
+        let seen = Seen {
+            at: now,
+            acquitted: false,
+        };
+        strikes.insert(crash.clone(), seen);
         self.crashes.entry(crash.clone()).or_insert(now);
         self.clear_common_cause(now, &crash);
         true
@@ -151,7 +184,7 @@
     fn clear_common_cause(&mut self, now: Time, crash: &Crash) {
         let window = self.options.common_cause;
         let other = |(c, at): &(&Crash, &Time)| {
-            c.domain == crash.domain && c.group != crash.group && now.since(**at) <= window
+            c.domain == crash.domain && c.group != crash.group && now.since(**at) < window
         };
         let others: Vec<_> = self
             .crashes
@@ -165,39 +198,90 @@
         }
     }
 
+    /// Takes note that a request was answered whole.
+    pub fn acquit(&mut self, fingerprint: &Fingerprint) {
+        let strikes = self.strikes.get_mut(fingerprint);
+        for seen in strikes.into_iter().flat_map(BTreeMap::values_mut) {
+            seen.acquitted = true;
+        }
+    }
+
+    /// Whether no strike is known.
+    pub fn is_empty(&self) -> bool {
+        self.strikes.is_empty()
+    }
+
     /// What may be done with a request.
     pub fn verdict(&self, now: Time, fingerprint: &Fingerprint) -> Verdict {
-        let Some(strikes) = self.strikes.get(fingerprint) else {
-            return Verdict::Clear;
-        };
-        let counts = |(crash, at): &(&Crash, &Time)| {
-            !self.cleared.contains(*crash) && now.since(**at) <= self.options.lasting
-        };
-        match strikes.iter().filter(counts).count() {
+        match self.counting(now, fingerprint).count() {
             0 => Verdict::Clear,
             n if n < self.options.strikes => Verdict::Suspect,
             _ => Verdict::Condemned,
         }
     }
 
-    /// The strikes to tell other entries.
-    pub fn strikes(&self) -> impl Iterator<Item = Strike> + '_ {
-        self.strikes.iter().flat_map(|(fingerprint, crashes)| {
-            crashes.keys().map(|crash| Strike {
-                fingerprint: fingerprint.clone(),
-                crash: crash.clone(),
-            })
-        })
+    /// The time until a strike against a request no longer counts; zero without any.
+    pub fn lasts(&self, now: Time, fingerprint: &Fingerprint) -> Duration {
+        let oldest = self.counting(now, fingerprint).min();
+        oldest.map_or(Duration::ZERO, |at| (at + self.options.lasting).since(now))
+    }
+
+    /// When each strike that counts against a request was learned of.
+    fn counting(&self, now: Time, fingerprint: &Fingerprint) -> impl Iterator<Item = Time> {
+        let strikes = self.strikes.get(fingerprint);
+        let strikes = strikes.into_iter().flatten();
+        let counts = move |(crash, seen): &(&Crash, &Seen)| self.counts(now, crash, seen);
+        strikes.filter(counts).map(|(_, seen)| seen.at)
+    }
+
+    fn counts(&self, now: Time, crash: &Crash, seen: &Seen) -> bool {
+        let lasts = now.since(seen.at) <= self.options.lasting;
+        lasts && !seen.acquitted && !self.cleared.contains(crash)
     }
 
+    /// The newest strikes to tell an entry, up to a number; all of them if it is new.
+    pub fn strikes(&self, now: Time, to_new_entry: bool, limit: usize) -> Vec<Strike> {
+        let telling = self.options.telling;
+        let mut told: Vec<(Time, &Fingerprint, &Crash)> = Vec::new();
+        for (fingerprint, crashes) in &self.strikes {
+            let due = crashes.iter().filter(|(crash, seen)| {
+                let young = now.since(seen.at) <= telling;
+                (young || to_new_entry) && self.counts(now, crash, seen)
+            });
+            told.extend(due.map(|(crash, seen)| (seen.at, fingerprint, crash)));
+        }
+        told.sort_unstable_by_key(|(at, _, _)| std::cmp::Reverse(*at));
+        let strike = |(_, fingerprint, crash): (Time, &Fingerprint, &Crash)| Strike {
+            fingerprint: fingerprint.clone(),
+            crash: crash.clone(),
+        };
+        told.into_iter().take(limit).map(strike).collect()
+    }
+
+    /// Forgets strikes a while after they ceased to count, when no entry tells them any
+    /// more that learned of them later.
     fn expire(&mut self, now: Time) {
-        let lasting = self.options.lasting;
+        let lasting = 2 * self.options.lasting;
         for crashes in self.strikes.values_mut() {
-            crashes.retain(|_, at| now.since(*at) <= lasting);
+            crashes.retain(|_, seen| now.since(seen.at) <= lasting);
         }
         self.strikes.retain(|_, crashes| !crashes.is_empty());
+        self.forget_oldest();
         self.crashes.retain(|_, at| now.since(*at) <= lasting);
         let crashes = &self.crashes;
         self.cleared.retain(|crash| crashes.contains_key(crash));
     }
+    /// Forgets the requests whose last strike is the oldest while there are too many strikes.
+    fn forget_oldest(&mut self) {
+        let mut count: usize = self.strikes.values().map(BTreeMap::len).sum();
+        while count >= STRIKE_LIMIT {
+            let last = |crashes: &BTreeMap<Crash, Seen>| crashes.values().map(|s| s.at).max();
+            let oldest = self.strikes.iter().min_by_key(|(_, crashes)| last(crashes));
+            let Some(oldest) = oldest.map(|(fingerprint, _)| fingerprint.clone()) else {
+                return;
+            };
+            let forgotten = self.strikes.remove(&oldest);
+            count -= forgotten.map_or(0, |crashes| crashes.len());
+        }
+    }
 }
--- a/crates/cyclamen-route/tests/decisions.rs
+++ b/crates/cyclamen-route/tests/decisions.rs
@@ -184,6 +184,82 @@
     two_crashes_at_once_in_two_domains_condemn: [(1, "d1", "g1"), (2, "d2", "g2")] => Condemned;
 }
 
+#[test]
+fn a_request_that_was_answered_whole_is_no_suspect_for_its_former_strikes() {
+    let mut suspects = Suspects::new(suspect::Options::default());
+    let it = Fingerprint::of_parts([b"read".as_slice(), b"x"]);
+    suspects.strike(at(1), strike(&it, "d1", "g1"));
+    suspects.acquit(&it);
+    assert_eq!(suspects.verdict(at(2), &it), Verdict::Clear);
+    assert_eq!(suspects.strikes(at(2), true, 9), []);
+    assert!(!suspects.strike(at(3), strike(&it, "d1", "g1")));
+    suspects.strike(at(4), strike(&it, "d2", "g2"));
+    assert_eq!(suspects.verdict(at(5), &it), Verdict::Suspect);
+}
+
+#[test]
+fn entries_do_not_keep_a_strike_alive_by_telling_each_other() {
+    let options = suspect::Options {
+        lasting: Duration::from_secs(10),
+        ..suspect::Options::default()
+    };
+    let it = Fingerprint::of_parts([b"x".as_slice()]);
+    let mut entries = [(); 2].map(|()| Suspects::new(options));
+    entries[0].strike(at(0), strike(&it, "d1", "g1"));
+    for second in 4..60 {
+        for (from, to) in [(0, 1), (1, 0)] {
+            for told in entries[from].strikes(at(second), true, 9) {
+                entries[to].strike(at(second), told);
+            }
+        }
+    }
+    let verdicts = entries.map(|e| e.verdict(at(60), &it));
+    assert_eq!(verdicts, [Verdict::Clear; 2]);
+}
+
+macro_rules! told {
+    ($($name:ident: $second:expr, $to_new_entry:expr, $limit:expr => $groups:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let options = suspect::Options {
+                telling: Duration::from_secs(5),
+                ..suspect::Options::default()
+            };
+            let mut suspects = Suspects::new(options);
+            let it = Fingerprint::of_parts([b"x".as_slice()]);
+            suspects.strike(at(1), strike(&it, "d1", "g1"));
+            suspects.strike(at(8), strike(&it, "d2", "g2"));
+            let told = suspects.strikes(at($second), $to_new_entry, $limit);
+            let groups: Vec<_> = told.iter().map(|s| s.crash.group.as_str()).collect();
+            let expected: &[&str] = &$groups;
+            assert_eq!(groups, expected);
+        }
+    )*};
+}
+
+told! {
+    new_strikes_are_told: 9, false, 9 => ["g2"];
+    strikes_that_all_have_heard_of_are_not_told: 20, false, 9 => [];
+    an_entry_that_has_started_is_told_all: 20, true, 9 => ["g2", "g1"];
+    the_newest_strikes_come_first: 20, true, 1 => ["g2"];
+}
+
+#[test]
+fn a_refusal_says_when_a_strike_will_not_count_any_more() {
+    let mut suspects = Suspects::new(suspect::Options::default());
+    let it = Fingerprint::of_parts([b"x".as_slice()]);
+    assert_eq!(suspects.lasts(at(1), &it), Duration::ZERO);
+    suspects.strike(at(1), strike(&it, "d1", "g1"));
+    assert_eq!(suspects.lasts(at(601), &it), Duration::from_secs(3_000));
+}
+
+#[test]
+fn requests_are_told_apart_by_their_parts() {
+    let one = Fingerprint::of_parts([b"ab".as_slice(), b"c"]);
+    let other = Fingerprint::of_parts([b"a".as_slice(), b"bc"]);
+    assert_ne!(one, other);
+}
+
 #[test]
 fn a_request_is_known_by_its_content() {
     let one = Fingerprint::of("llm", br#"{"messages":["x"],"model":"llm","user":"a"}"#);
