--- a/crates/cyclamen-gateway/src/front.rs
+++ b/crates/cyclamen-gateway/src/front.rs
@@ -62,6 +62,8 @@
             return conn;
         }
         let conn = conn.with_response_header(KnownHeaderName::ContentType, "text/plain");
+        let serving = self.0.state().serving();
+        self.0.metrics.serving(&serving);
         conn.ok(self.0.metrics.text())
     }
 }
--- a/crates/cyclamen-gateway/src/metrics.rs
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 
+use crate::node::Serving;
+
 const NAME: &str = "cyclamenpath";
 /// Upper bounds of the buckets of waiting times, in seconds.
 const WAIT_BUCKETS: [f64; 12] = [
@@ -21,6 +23,8 @@
     resumes: Counter<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
+    crashes: Counter<u64>,
+    targets: Gauge<u64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
 }
@@ -42,6 +46,8 @@
             resumes: meter.u64_counter("resumed_streams").build(),
             orders: meter.u64_counter("orders").build(),
             store_calls: meter.u64_counter("store_calls").build(),
+            crashes: meter.u64_counter("worker_crashes").build(),
+            targets: meter.u64_gauge("targets").build(),
             first_byte: waits("first_byte"),
             duration: waits("request_duration"),
             registry,
@@ -81,6 +87,22 @@
         self.store_calls.add(1, &labels);
     }
 
+    /// Counts the crash of a worker while a request began to run on it.
+    pub(crate) fn crashed(&self) {
+        self.crashes.add(1, &[]);
+    }
+
+    /// Takes note of how many workers or groups take requests now.
+    pub(crate) fn serving(&self, serving: &[Serving]) {
+        for part in serving {
+            let labels = [
+                KeyValue::new("service", part.service.to_string()),
+                KeyValue::new("model", part.model.clone()),
+            ];
+            self.targets.record(part.count, &labels);
+        }
+    }
+
     /// The metrics in the text format of Prometheus.
     pub(crate) fn text(&self) -> String {
         let encoder = prometheus::TextEncoder::new();
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -21,6 +21,7 @@
 pub(crate) use duties::Holding;
 pub(crate) use peers::Peer;
 pub(crate) use state::State;
+pub(crate) use targets::Serving;
 
 /// Everything that this entry knows, and its clients.
 pub(crate) struct Node {
--- a/crates/cyclamen-gateway/src/node/targets.rs
+++ b/crates/cyclamen-gateway/src/node/targets.rs
@@ -7,11 +7,41 @@
 use cyclamen_directory::{Entry, Instance};
 use cyclamen_dispatch::{Forecast, Target};
 use cyclamen_replica::{Group, Groups, State as GroupState};
-use cyclamen_types::{Time, group, instance};
+use cyclamen_types::{Time, group, instance, model, pool};
 
 use crate::node::State;
 
+/// How many workers of a service, or groups of a model, take requests.
+#[derive(Debug)]
+pub(crate) struct Serving {
+    pub(crate) service: pool::Service,
+    /// The model's name; empty for a plain service.
+    pub(crate) model: String,
+    pub(crate) count: u64,
+}
+
 impl State {
+    /// How many workers or groups of each configured service and model take requests.
+    pub(crate) fn serving(&self) -> Vec<Serving> {
+        let count = |service: &Service, model: Option<&model::Name>| {
+            let targets = self.dispatcher.targets();
+            let same = |t: &&Target| t.service == service.name && t.model.as_ref() == model;
+            Serving {
+                service: service.name.clone(),
+                model: model.map_or_else(String::new, ToString::to_string),
+                count: targets.filter(same).count() as u64,
+            }
+        };
+        let parts = self.catalog.services().flat_map(|service| {
+            let models: Vec<_> = match &service.engine {
+                Some(engine) => engine.models.iter().map(|m| Some(&m.name)).collect(),
+                None => vec![None],
+            };
+            models.into_iter().map(move |model| count(service, model))
+        });
+        parts.collect()
+    }
+
     /// Whether a target, or a member of the group whose head it is, does not answer any more.
     ///
     /// A target that has another membership by now has lost its group as well.
--- a/crates/cyclamen-gateway/src/tasks/crash.rs
+++ b/crates/cyclamen-gateway/src/tasks/crash.rs
@@ -43,6 +43,7 @@
         let now = node.now();
         let is_news = node.state().suspects.strike(now, strike);
         if is_news {
+            node.metrics.crashed();
             tell_all(&node);
         }
     };
