perf: ask a group's members only once a first event is later than forecast

Cause: a stream that had heard nothing for 220 ms had all members of its group asked, also while its prompt waited for its turn. Ruled out: questions to workers that are suspected (78 suspicions). Change: before the first event the members are asked 100 ms after the forecast; after it, as before. The forecast counts the rounds of a prompt longer than one chunk. A group known as lost is left as before.

--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -101,7 +101,7 @@
             refused.workers += 1;
             let theirs = peers.get(place).copied();
             let work = theirs.map_or(slot.work, |theirs| slot.work.plus(theirs));
-            let wait = slot.wait(work, &self.options);
+            let wait = slot.wait(work, want.tokens, &self.options);
             if !self.options.accepts(want, &slot.target, work, wait) {
                 refused.overloaded(wait);
                 continue;
@@ -119,7 +119,7 @@
         let Some((slot, work)) = chosen else {
             return Err(refused.refusal(want, &self.options));
         };
-        let forecast = slot.wait(work, &self.options);
+        let forecast = slot.wait(work, want.tokens, &self.options);
         slot.work.running += 1;
         slot.work.backlog += want.tokens;
         slot.allowance.spend(now);
@@ -214,11 +214,11 @@
     }
 
     /// The forecast wait for the first part of an answer.
-    fn wait(&self, work: Work, options: &Options) -> Duration {
+    fn wait(&self, work: Work, tokens: u64, options: &Options) -> Duration {
         match &self.target.forecast {
             Some(forecast) => {
                 let running = work.running.min(self.target.slots);
-                options.overhead + forecast.wait(work.backlog, running)
+                options.overhead + forecast.wait(work.backlog, tokens, running)
             }
             None => {
                 let slots = f64::from(self.target.slots.max(1));
--- a/crates/cyclamen-dispatch/src/forecast.rs
+++ b/crates/cyclamen-dispatch/src/forecast.rs
@@ -35,12 +35,14 @@
         Duration::from_secs_f64(self.read + steps)
     }
 
-    /// The time until a request begins to be answered, behind `backlog` prompt tokens.
+    /// The time until a request with a prompt of `tokens` begins to be answered, behind
+    /// `backlog` prompt tokens.
     ///
     /// On average half of the present round has to end first; the request's
-    /// own prompt takes one round more.
-    pub fn wait(&self, backlog: u64, running: u32) -> Duration {
-        let rounds = backlog as f64 / self.chunk;
+    /// own prompt takes one round more, or several if it is longer than a chunk.
+    pub fn wait(&self, backlog: u64, tokens: u64, running: u32) -> Duration {
+        let beyond_chunk = (tokens as f64 - self.chunk).max(0.0);
+        let rounds = (backlog as f64 + beyond_chunk) / self.chunk;
         self.round(running).mul_f64(1.5 + rounds)
     }
 }
--- a/crates/cyclamen-gateway/src/front/stream.rs
+++ b/crates/cyclamen-gateway/src/front/stream.rs
@@ -81,6 +81,10 @@
     End,
 }
 
+/// The time beyond its forecast after which a first event is late enough to have the group
+/// checked.
+const FORECAST_SLACK: Duration = Duration::from_millis(100);
+
 /// The stream of the worker that runs the request at present.
 struct Open {
     sent: Sent,
@@ -285,7 +289,14 @@
         if open.sent.target.model.is_some() && node.state().lost_member(&open.sent.target) {
             return Err(Break::GroupLost);
         }
-        tasks::check_target(node, &open.sent.target);
+        if open.started || silent >= first_event_due(&open.sent) {
+            tasks::check_target(node, &open.sent.target);
+        }
         Ok(())
     }
 }
+
+/// The time from sending a request within which its first event should come.
+fn first_event_due(sent: &Sent) -> Duration {
+    sent.forecast + FORECAST_SLACK
+}
--- a/crates/cyclamen-gateway/src/front/stream/connect.rs
+++ b/crates/cyclamen-gateway/src/front/stream/connect.rs
@@ -11,7 +11,7 @@
 use crate::front::answer::{Verdict, judge};
 use crate::front::refusal::Refusal;
 use crate::front::send::send;
-use crate::front::stream::{Begun, Open, Part, Relay, SILENCE_TICK};
+use crate::front::stream::{Begun, Open, Part, Relay, SILENCE_TICK, first_event_due};
 use crate::settings::span;
 use crate::tasks;
 
@@ -166,7 +166,9 @@
                 if job.node.state().lost_member(&self.sent.target) {
                     return Err(Error::Closed);
                 }
-                tasks::check_target(&job.node, &self.sent.target);
+                if waited >= first_event_due(self.sent) {
+                    tasks::check_target(&job.node, &self.sent.target);
+                }
             }
         };
         or(sending, watching).await
