perf: tell an entry once what operators wrote, and only if it lags

An entry cut from the store learned the configuration by news, but went on reporting the revision up to which the store had shown it, so that all others sent the whole row again with each exchange; and a change was sent to every entry that had not reported it yet, though all read it from the store at that moment. Change: an entry reports what it knows by news as well, except in its first 3 s, when the news may have been meant for its former start. Rows of operators go only to entries that lack what this one has known for 300 ms.

--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -3,6 +3,7 @@
 mod beliefs;
 mod duties;
 mod peers;
+mod reached;
 mod state;
 mod targets;
 
--- a/crates/cyclamen-gateway/src/node/beliefs.rs
+++ b/crates/cyclamen-gateway/src/node/beliefs.rs
@@ -11,10 +11,10 @@
 use crate::edge::{Platform, Record, Row, Snapshot, Subject, Table};
 use crate::node::State;
 
-/// Revisions of the list of instances whose times are kept.
-const REACHED_LIMIT: usize = 64;
 /// The time after which other entries should know of a change of the list by themselves.
 const SETTLED: Duration = Duration::from_secs(1);
+/// The time after which other entries should know by themselves what operators wrote.
+const OPERATORS_SETTLED: Duration = Duration::from_millis(300);
 /// The tables that every entry follows, and tells others of.
 pub(crate) const FOLLOWED: [Table; 2] = [Table::Operators, Table::Instances];
 
@@ -70,28 +70,37 @@
     pub(crate) fn note_position(&mut self, now: Time, table: Table, as_of: Revision) {
         let position = self.positions.entry(table).or_default();
         *position = as_of.max(*position);
-        if table == Table::Instances {
-            self.reached.push_back((now, *position));
-            while self.reached.len() > REACHED_LIMIT {
-                self.reached.pop_front();
-            }
-        }
+        let position = *position;
+        self.reached.entry(table).or_default().note(now, position);
     }
 
-    /// The revision of the list of instances that this entry knew a while ago.
-    pub(crate) fn settled(&self, now: Time) -> Revision {
-        let old = self.reached.iter().rev();
-        let mut old = old.filter(|(at, _)| now.since(*at) >= SETTLED);
-        old.next()
-            .map(|(_, revision)| *revision)
-            .unwrap_or_default()
+    /// Takes note that news showed what operators wrote up to a revision.
+    pub(crate) fn note_told(&mut self, now: Time, revision: Revision) {
+        self.told_operators = self.told_operators.max(revision);
+        let reached = self.reached.entry(Table::Operators).or_default();
+        reached.note(now, self.told_operators);
     }
 
-    /// The revision up to which a followed table is known.
+    /// The revision of a followed table that other entries should know by themselves.
+    pub(crate) fn settled(&self, now: Time, table: Table) -> Revision {
+        let time = match table {
+            Table::Operators => OPERATORS_SETTLED,
+            Table::Instances | Table::Entries | Table::Domains => SETTLED,
+        };
+        let reached = self.reached.get(&table);
+        reached.map_or_else(Revision::default, |r| r.known_for(now, time))
+    }
+
+    /// The revision up to which the store has shown a followed table.
     pub(crate) fn as_of(&self, table: Table) -> Revision {
         self.positions.get(&table).copied().unwrap_or_default()
     }
 
+    /// The revision up to which it is known what operators wrote, by the store or by news.
+    pub(crate) fn operators_as_of(&self) -> Revision {
+        self.as_of(Table::Operators).max(self.told_operators)
+    }
+
     /// Takes one row unless a newer one is known; whether it changes anything.
     fn take_row(&mut self, now: Time, platform: &dyn Platform, row: Row) -> bool {
         let key = Key::new(&format!("{}/", row.table.as_str()), &row.key);
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -1,6 +1,6 @@
 //! The state of the node.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +18,7 @@
 use crate::edge::Table;
 use crate::node::duties::Ownership;
 use crate::node::peers::Peer;
+use crate::node::reached::Reached;
 use crate::settings::{self, Settings, span};
 
 /// Bounds of containment.
@@ -45,8 +46,10 @@
     pub(crate) rows: Cache,
     /// Up to which revision each followed table is known.
     pub(crate) positions: BTreeMap<Table, Revision>,
-    /// When each revision of the list of instances was reached, the oldest first.
-    pub(crate) reached: VecDeque<(Time, Revision)>,
+    /// Up to which revision the news of others show what operators wrote.
+    pub(crate) told_operators: Revision,
+    /// When each followed table was known up to which revision.
+    pub(crate) reached: BTreeMap<Table, Reached>,
     pub(crate) peers: BTreeMap<entry::Name, Peer>,
     /// The entries and fabric domains that this entry works with first.
     pub(crate) cell: Cell,
@@ -82,7 +85,8 @@
             detector: Detector::default(),
             rows: Cache::default(),
             positions: BTreeMap::new(),
-            reached: VecDeque::new(),
+            told_operators: Revision::default(),
+            reached: BTreeMap::new(),
             peers: BTreeMap::new(),
             cell: Cell::default(),
             lease: Holder::new(lease),
--- a/crates/cyclamen-gateway/src/tasks/news.rs
+++ b/crates/cyclamen-gateway/src/tasks/news.rs
@@ -25,6 +25,8 @@
 const SILENT_ROUNDS: u32 = 6;
 /// The age up to which it is known what another entry knows.
 const FRESH: Duration = Duration::from_millis(400);
+/// The time after its start within which an entry may get news meant for its former start.
+const FORMER_START: Time = Time::from_millis(3_000);
 /// Rows that one piece of news carries at most.
 const ROW_LIMIT: usize = 256;
 /// How long an entry that has started is told what others learned earlier.
@@ -172,7 +174,12 @@
     }
     let rows: Vec<Row> = news.delta.rows.into_iter().filter_map(row).collect();
     let some_rows = !rows.is_empty();
+    let operators = rows.iter().filter(|row| row.table == Table::Operators);
+    let told = operators.map(|row| row.revision).max();
     state.take_rows(now, node.platform.as_ref(), rows);
+    if let Some(told) = told.filter(|_| now >= FORMER_START) {
+        state.note_told(now, told);
+    }
     let to_ask = state.take_suspicions(now, &sender, news.suspected);
     drop(state);
     for worker in to_ask {
@@ -185,19 +192,21 @@
 
 /// This entry's news for another one, with rows that it lacks by its own last news.
 ///
-/// Entries learn of instances from the store at about the same time; only rows
-/// that the other one should have known for a while are told.
+/// Entries learn of changes from the store at about the same time; only rows
+/// that the other one should have known for a while are told. What operators wrote is
+/// told in the order of revisions, so that an entry knows all up to the last one.
 fn news(state: &State, now: Time, peer: &Peer) -> News {
     let fresh = peer.heard.is_some_and(|at| now.since(at) < FRESH);
     if !fresh {
         return news_without_rows(state, now, Some(peer));
     }
-    let settled = state.settled(now);
+    let settled = state.settled(now, Table::Instances);
+    let lags = peer.operators_as_of < state.settled(now, Table::Operators);
     let prefix = |table: Table| format!("{}/", table.as_str());
     let (operators, listed) = (prefix(Table::Operators), prefix(Table::Instances));
     let lacks = |row: &cyclamen_cache::Row| {
         let known = if row.key.0.starts_with(&operators) {
-            row.revision <= peer.operators_as_of
+            !lags || row.revision <= peer.operators_as_of
         } else {
             !row.key.0.starts_with(&listed) || row.revision <= peer.as_of || row.revision > settled
         };
@@ -206,6 +215,10 @@
     let oldest = peer.as_of.min(peer.operators_as_of);
     let mut delta = state.rows.changes_since(oldest);
     delta.rows.retain(lacks);
+    let is_listed = |row: &cyclamen_cache::Row| row.key.0.starts_with(&listed);
+    delta
+        .rows
+        .sort_unstable_by_key(|row| (is_listed(row), row.revision));
     delta.rows.truncate(ROW_LIMIT);
     News {
         delta,
@@ -219,7 +232,7 @@
     News {
         sender: state.me.clone(),
         as_of: state.as_of(Table::Instances),
-        operators_as_of: state.as_of(Table::Operators),
+        operators_as_of: state.operators_as_of(),
         summaries: Vec::new(),
         strikes: state.suspects.strikes(now, is_new, STRIKE_LIMIT),
         delta: Delta::default(),
