perf: few entries ask a suspected worker for all others

Cause: every entry asked each suspected worker again every 250 ms, twice. Ways weighed: longer pauses for all (a wrong suspicion would last longer near the worker, where it costs capacity); trusting reports without asking (wrong suspicions spread, ruled out earlier). Change: an entry still asks itself once when another reports a worker. After that the entries of the worker's cell and its owner ask again, each 250 ms in the first second and each second later, one question; for the others a report that rests on a question of the last 1.6 s confirms the suspicion. Entries that do not ask do not report, so that none keeps a suspicion alive.

--- a/crates/cyclamen-gateway/src/tasks/crash.rs
+++ b/crates/cyclamen-gateway/src/tasks/crash.rs
@@ -7,7 +7,7 @@
 use cyclamen_types::group::Fence;
 
 use crate::node::Node;
-use crate::tasks::check::answers;
+use crate::tasks::check::{FIRST_QUESTIONS, answers};
 use crate::tasks::tell_all;
 
 /// Counts a strike against a request whose worker closed the connection before it
@@ -31,7 +31,7 @@
     let target = target.clone();
     let request = request.clone();
     let confirming = async move {
-        if answers(&node, target.address).await {
+        if answers(&node, target.address, FIRST_QUESTIONS).await {
             return;
         }
         log::info!(
--- a/crates/cyclamen-gateway/src/tasks/news.rs
+++ b/crates/cyclamen-gateway/src/tasks/news.rs
@@ -12,11 +12,11 @@
 use crate::edge::{Row, Table};
 use crate::node::{FOLLOWED, Node, Peer, State};
 use crate::settings::span;
-use crate::tasks::check::check_worker;
+use crate::tasks::check::{FIRST_QUESTIONS, check_worker};
 use crate::tasks::own;
 
 /// The most other entries with which each exchanges news with all.
-const SMALL_FLEET: usize = 8;
+pub(super) const SMALL_FLEET: usize = 8;
 /// Entries of a large fleet that get news by chance in each round.
 const CHANCE_PARTNERS: usize = 2;
 /// Entries of the cell that get news in each round.
@@ -183,7 +183,7 @@
     let to_ask = state.take_suspicions(now, &sender, news.suspected);
     drop(state);
     for worker in to_ask {
-        check_worker(node, worker);
+        check_worker(node, worker, FIRST_QUESTIONS);
     }
     if some_rows {
         node.wake_planner();
@@ -237,7 +237,7 @@
         strikes: state.suspects.strikes(now, is_new, STRIKE_LIMIT),
         delta: Delta::default(),
         loads: state.dispatcher.loads(),
-        suspected: state.detector.own().cloned().collect(),
+        suspected: state.detector.own(now).cloned().collect(),
     }
 }
 
--- a/crates/cyclamen-replica/src/detector.rs
+++ b/crates/cyclamen-replica/src/detector.rs
@@ -38,6 +38,15 @@
     pub alone: Duration,
     /// How long a suspicion holds that no further question or report has confirmed.
     pub memory: Duration,
+    /// The time between two questions to a worker that is newly suspected.
+    pub ask_new: Duration,
+    /// How long a suspicion is new.
+    pub new: Duration,
+    /// The time between two questions to a worker that is suspected for longer.
+    pub ask_old: Duration,
+    /// How long after an unanswered question other entries are told of the suspicion;
+    /// longer than `ask_old`.
+    pub tell: Duration,
 }
 
 impl Default for Limits {
@@ -46,6 +55,10 @@
             alive: Duration::from_secs(1),
             alone: Duration::from_millis(600),
             memory: Duration::from_secs(3),
+            ask_new: Duration::from_millis(250),
+            new: Duration::from_secs(1),
+            ask_old: Duration::from_secs(1),
+            tell: Duration::from_millis(1_600),
         }
     }
 }
@@ -54,6 +67,9 @@
 #[derive(Debug, Clone, Copy)]
 struct Suspicion {
     since: Time,
+    /// When a question was last left unanswered.
+    asked: Time,
+    /// When a question or a report last confirmed it.
     confirmed: Time,
 }
 
@@ -75,13 +91,13 @@
     pub fn suspect(&mut self, now: Time, start: &Start) -> bool {
         self.asked.remove(start);
         self.alive.remove(start);
-        let first = Suspicion {
-            since: now,
+        let known = self.own.get(start);
+        let suspicion = Suspicion {
+            since: known.map_or(now, |known| known.since),
+            asked: now,
             confirmed: now,
         };
-        let news = !self.own.contains_key(start);
-        self.own.entry(start.clone()).or_insert(first).confirmed = now;
-        news
+        self.own.insert(start.clone(), suspicion).is_none()
     }
 
     /// Takes note that a worker answered; whether it was suspected.
@@ -99,6 +115,11 @@
         suspected: impl IntoIterator<Item = Start>,
     ) -> Vec<Start> {
         let suspected: BTreeSet<Start> = suspected.into_iter().collect();
+        for start in &suspected {
+            if let Some(suspicion) = self.own.get_mut(start) {
+                suspicion.confirmed = now;
+            }
+        }
         let alive = |start: &Start| {
             let answered = self.alive.get(start);
             answered.is_some_and(|at| now.since(*at) < self.limits.alive)
@@ -129,14 +150,31 @@
         others || now.since(suspicion.since) >= self.limits.alone
     }
 
-    /// Whether this entry has found out itself that a worker does not answer.
-    pub fn is_own(&self, start: &Start) -> bool {
-        self.own.contains_key(start)
+    /// Whether a suspected worker should be asked again.
+    ///
+    /// Of a worker that is not `near`, the reports of the entries nearer to it are enough.
+    pub fn is_due(&self, now: Time, start: &Start, near: bool) -> bool {
+        let Some(suspicion) = self.own.get(start) else {
+            return false;
+        };
+        let is_new = now.since(suspicion.since) < self.limits.new;
+        let pause = if is_new {
+            self.limits.ask_new
+        } else {
+            self.limits.ask_old
+        };
+        let confirmed = now.since(suspicion.confirmed) < self.limits.ask_old;
+        now.since(suspicion.asked) >= pause && (near || !confirmed)
     }
 
-    /// What this entry has found out itself, for other entries.
-    pub fn own(&self) -> impl Iterator<Item = &Start> {
-        self.own.keys()
+    /// What this entry has found out itself of late, for other entries.
+    pub fn own(&self, now: Time) -> impl Iterator<Item = &Start> {
+        let tell = self.limits.tell;
+        let fresh = self
+            .own
+            .iter()
+            .filter(move |(_, s)| now.since(s.asked) < tell);
+        fresh.map(|(start, _)| start)
     }
 
     /// Forgets what is too old; whether any worker is suspected no more.
--- a/crates/cyclamen-replica/tests/replica/detector.rs
+++ b/crates/cyclamen-replica/tests/replica/detector.rs
@@ -23,9 +23,9 @@
 
 /// Two entries that report their suspicions to each other, as news does.
 fn exchange(now: Time, one: &mut Detector, other: &mut Detector) {
-    let told: Vec<Start> = one.own().cloned().collect();
+    let told: Vec<Start> = one.own(now).cloned().collect();
     other.report(now, &entry("one"), told);
-    let told: Vec<Start> = other.own().cloned().collect();
+    let told: Vec<Start> = other.own(now).cloned().collect();
     one.report(now, &entry("other"), told);
 }
 
@@ -56,7 +56,7 @@
         vec![worker.clone()]
     );
     assert!(detector.report(at(10), &entry("other"), told).is_empty());
-    assert_eq!(detector.own().count(), 0);
+    assert_eq!(detector.own(at(10)).count(), 0);
 }
 
 #[test]
@@ -97,6 +97,50 @@
     suspicions_of_another_worker_do_not_count: ["v"], 2 => false;
 }
 
+macro_rules! asked_again {
+    ($($name:ident: $since:expr, $asked:expr, $told:expr, $near:expr => $due:expr;)*) => {
+        $(
+            /// At 10 s, after the first and the last unanswered question and a report.
+            #[test]
+            fn $name() {
+                let worker = start("w");
+                let mut detector = Detector::default();
+                detector.suspect(at($since), &worker);
+                detector.suspect(at($asked), &worker);
+                detector.report(at($told), &entry("other"), [worker.clone()]);
+                assert_eq!(detector.is_due(at(10_000), &worker, $near), $due);
+            }
+        )*
+    };
+}
+
+asked_again! {
+    a_new_suspicion_is_checked_soon: 9_500, 9_750, 9_750, true => true;
+    a_new_suspicion_is_not_checked_all_the_time: 9_500, 9_800, 9_800, true => false;
+    an_old_suspicion_is_checked_now_and_then: 5_000, 9_000, 9_900, true => true;
+    an_old_suspicion_is_not_checked_often: 5_000, 9_500, 9_900, true => false;
+    reports_are_enough_for_a_worker_far_away: 9_500, 9_500, 9_900, false => false;
+    without_reports_a_worker_far_away_is_asked: 5_000, 8_500, 8_500, false => true;
+}
+
+/// Entries that do not ask any more may not keep a suspicion alive for each other.
+#[test]
+fn reports_without_questions_end() {
+    let worker = start("w");
+    let mut entries = [(); 2].map(|()| Detector::default());
+    for detector in &mut entries {
+        detector.suspect(at(0), &worker);
+    }
+    let [one, other] = &mut entries;
+    for round in 0..100 {
+        let now = at(round * 100);
+        exchange(now, one, other);
+        one.expire(now);
+        other.expire(now);
+    }
+    assert!(!one.is_suspected(&worker) && !other.is_suspected(&worker));
+}
+
 #[test]
 fn a_suspicion_that_is_not_confirmed_is_forgotten() {
     let worker = start("w");
