--- a/crates/cyclamen-gateway/src/tasks/follow.rs
+++ b/crates/cyclamen-gateway/src/tasks/follow.rs
@@ -15,9 +15,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// The time in which changes of instances gather at the store for each entry that follows
 /// them, where no group of an own domain changes.
-const GATHER: Duration = Duration::from_millis(8);
+const GATHER: Duration = Duration::from_millis(20);
 /// The longest time in which changes gather.
-const LONGEST_GATHER: Duration = Duration::from_millis(900);
+const LONGEST_GATHER: Duration = Duration::from_millis(1_500);
 /// The longest pause between two tries.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
