fix: log what an operator's page, edit or table could not be read or encoded

An edit whose body broke off was taken for an empty one and blamed on its JSON; a table that does not parse, a reply and a metrics page that cannot be encoded became empty without a line.

--- a/crates/cyclamen-entry/src/operator/mod.rs
+++ b/crates/cyclamen-entry/src/operator/mod.rs
@@ -56,10 +56,13 @@
             (Method::Get, ["status"]) => status::read(node),
             (Method::Get, ["tables", table]) => tables::read(node, table).await,
             (Method::Get, ["tables", table, "history"]) => tables::history(node, table).await,
-            (Method::Post, ["tables", table]) => {
-                let body = conn.request_body().read_bytes().await.unwrap_or_default();
-                tables::apply(node, table, &body).await
-            }
+            (Method::Post, ["tables", table]) => match conn.request_body().read_bytes().await {
+                Ok(body) => tables::apply(node, table, &body).await,
+                Err(error) => {
+                    log::warn!("event=edit_not_read table={table} reason=\"{error}\"");
+                    tables::Reply::error(400, "the body could not be read")
+                }
+            },
             (Method::Post, ["zones", zone, "out"]) => tables::move_zone(node, zone, true).await,
             (Method::Post, ["zones", zone, "in"]) => tables::move_zone(node, zone, false).await,
             _ => tables::Reply::error(404, "no such resource"),
--- a/crates/cyclamen-entry/src/operator/tables.rs
+++ b/crates/cyclamen-entry/src/operator/tables.rs
@@ -27,8 +27,14 @@
 
 impl Reply {
     pub(crate) fn of(status: u16, body: &impl Serialize) -> Self {
-        let body = serde_json::to_value(body).unwrap_or_default();
-        Self { status, body }
+        match serde_json::to_value(body) {
+            Ok(body) => Self { status, body },
+            Err(error) => {
+                log::error!("event=reply_not_encoded reason=\"{error}\"");
+                let body = json!({"error": "the answer could not be encoded"});
+                Self { status: 500, body }
+            }
+        }
     }
 
     pub(crate) fn error(status: u16, message: &str) -> Self {
@@ -76,7 +82,14 @@
 fn decode<T: DeserializeOwned + Default>(rows: &[Row], key: &Key) -> (Document<T>, Revision) {
     let row = rows.iter().find(|row| row.key == *key);
     let text = row.and_then(|row| row.value.as_deref());
-    let document = text.and_then(|text| serde_json::from_str(text).ok());
+    let document = text.and_then(|text| {
+        let document = serde_json::from_str(text);
+        document
+            .inspect_err(|error| {
+                log::warn!("event=table_not_understood key={key} reason=\"{error}\"");
+            })
+            .ok()
+    });
     let revision = row.filter(|r| r.value.is_some()).map(|r| r.revision);
     (document.unwrap_or_default(), revision.unwrap_or_default())
 }
--- a/crates/cyclamen-entry/src/telemetry.rs
+++ b/crates/cyclamen-entry/src/telemetry.rs
@@ -101,9 +101,13 @@
     /// The metrics in the text format of Prometheus.
     pub(crate) fn text(&self) -> String {
         let encoder = prometheus::TextEncoder::new();
-        encoder
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+        match encoder.encode_to_string(&self.registry.gather()) {
+            Ok(text) => text,
+            Err(error) => {
+                log::warn!("event=metrics_not_encoded reason=\"{error}\"");
+                String::new()
+            }
+        }
     }
 
     /// Begins the span of a request that came with this trace context.
