--- a/crates/cyclamen-gateway/src/run.rs
+++ b/crates/cyclamen-gateway/src/run.rs
@@ -5,9 +5,7 @@
 use std::time::Duration;
 
 use async_signal::{Signal, Signals};
-use cyclamen_claim::{Attempt, Fate};
-use cyclamen_peer::message::Admission;
-use cyclamen_peer::{Allowed, Answer, Ask, News, Pending, Release, Service};
+use cyclamen_peer::{Allowed, News, Service};
 use eyre::WrapErr;
 use futures::StreamExt;
 use smol::Timer;
@@ -32,20 +30,6 @@
     fn gossip(&self, news: News) -> News {
         tasks::answer_news(&self.0, news)
     }
-
-    /// Entries that admit nothing for each other say so.
-    fn admit(&self, _: Ask) -> Pending<Answer> {
-        Box::pin(std::future::ready(Answer {
-            admission: Admission::NotOwner,
-            summary: None,
-        }))
-    }
-
-    fn release(&self, _: Vec<Release>) {}
-
-    fn fate(&self, _: Attempt) -> Fate {
-        Fate::Forgotten
-    }
 }
 
 /// A running gateway.
--- a/crates/cyclamen-peer/src/server.rs
+++ b/crates/cyclamen-peer/src/server.rs
@@ -13,7 +13,7 @@
 use subtle::ConstantTimeEq;
 
 use crate::counted::Traffic;
-use crate::message::{Answer, Ask, News, Release};
+use crate::message::{Admission, Answer, Ask, News, Release};
 use crate::network::network;
 use crate::peer_capnp as wire;
 use crate::thread::Allowed;
@@ -23,15 +23,27 @@
 pub type Pending<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
 /// Answers the calls of other entries.
+///
+/// An entry that admits nothing for others only exchanges news.
 pub trait Service: Send + Sync + 'static {
     /// Takes and gives news.
     fn gossip(&self, news: News) -> News;
+
     /// Decides about admission; dropping the future gives the request up.
-    fn admit(&self, ask: Ask) -> Pending<Answer>;
+    fn admit(&self, _ask: Ask) -> Pending<Answer> {
+        Box::pin(std::future::ready(Answer {
+            admission: Admission::NotOwner,
+            summary: None,
+        }))
+    }
+
     /// Takes tickets back.
-    fn release(&self, releases: Vec<Release>);
+    fn release(&self, _releases: Vec<Release>) {}
+
     /// Tells what became of an attempt.
-    fn fate(&self, attempt: Attempt) -> Fate;
+    fn fate(&self, _attempt: Attempt) -> Fate {
+        Fate::Forgotten
+    }
 }
 
 /// What a connection is answered with.
