fix: end formations that cannot complete and pass failed workers over

Workers that were gone were selected again and again; outcomes of orders were logged and then ignored. - All domains loaded weights at once.

Change: the planner learns the outcomes of its orders. A worker that refuses or cannot be reached is passed over for longer each time, one whose address another worker has counts as lost, and the gateway probes workers that did not respond. Formations have a deadline from the models' load and warm times. Each domain keeps to its share of concurrent loads, and loads first what completes a group soonest. Warm-up groups have names of their own, so that every planner knows that they never serve: their members can be selected. A group that is dissolved binds only its own members if all are known. Repeated orders back off, and an accepted one is repeated only after the list should show its effect. A domain with too few workers for any group gets none.

The simulation of the domain now lags, shares the weight store and refuses orders. The property over failures also bounds the number of orders; it found leave and join orders alternating for one worker, mended here.

--- a/crates/cyclamen-directory/src/service.rs
+++ b/crates/cyclamen-directory/src/service.rs
@@ -33,6 +33,9 @@
     pub stride: u32,
     /// Weight loads that may start per second, over all workers.
     pub loads_per_second: f64,
+    /// The number of weight loads in progress, over all workers, above which each load takes
+    /// proportionally longer; none if the weight store has no such limit.
+    pub concurrent_loads: Option<usize>,
     /// The models, in the operators' order.
     pub models: Vec<Model>,
 }
@@ -51,6 +54,8 @@
     pub pace: f64,
     /// The time to load its weights from the weight store.
     pub load: Duration,
+    /// The time to join a replica group with weights that the host holds.
+    pub warm: Duration,
 }
 
 impl Engine {
--- a/crates/cyclamen-dispatch/tests/dispatch.rs
+++ b/crates/cyclamen-dispatch/tests/dispatch.rs
@@ -33,12 +33,14 @@
         chunk: 2_048,
         stride: 5,
         loads_per_second: 4.0,
+        concurrent_loads: None,
         models: vec![Model {
             name: "large".parse().unwrap(),
             size: 4,
             share: 1.0,
             pace: 1.0,
             load: Duration::from_secs(16),
+            warm: Duration::from_millis(1_600),
         }],
     }
 }
--- a/crates/cyclamen-gateway/src/platform.rs
+++ b/crates/cyclamen-gateway/src/platform.rs
@@ -2,7 +2,6 @@
 
 mod dialect;
 mod store;
-mod worker;
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -10,13 +9,12 @@
 use std::time::Duration;
 
 use cyclamen_cache::Revision;
-use cyclamen_replica::Command;
+use cyclamen_replica::{Command, Outcome};
 
 pub use dialect::Dialect;
 pub use store::{
     Changes, Commit, DecodeError, Error, Record, Row, Snapshot, Subject, Table, Transaction,
 };
-pub use worker::OrderOutcome;
 
 /// A boxed future that can be sent between threads.
 pub type BoxFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
@@ -47,7 +45,7 @@
     fn decode(&self, row: &Row) -> Result<Record, DecodeError>;
 
     /// Sends an order to a worker.
-    fn order(&self, command: &Command) -> BoxFuture<OrderOutcome>;
+    fn order(&self, command: &Command) -> BoxFuture<Outcome>;
 
     /// Probes a worker; returns whether it responded within the timeout.
     fn probe(&self, address: SocketAddr, timeout: Duration) -> BoxFuture<bool>;
--- a/crates/cyclamen-gateway/src/tasks/plan.rs
+++ b/crates/cyclamen-gateway/src/tasks/plan.rs
@@ -1,17 +1,19 @@
 //! Sends the orders that keep the groups of owned domains complete.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use cyclamen_directory::Instance;
 use cyclamen_directory::service::Service;
-use cyclamen_replica::{Command, GroupCounts, Start, State as GroupState, View, Worker};
+use cyclamen_replica::{Command, GroupCounts, Outcome, Start, State as GroupState, View, Worker};
 use cyclamen_types::{Time, domain};
 use smol::Timer;
 use smol::future::or;
 
 use crate::node::{Node, State};
-use crate::platform::OrderOutcome;
 use crate::settings::millis;
 use crate::tasks::ownership;
+use crate::tasks::probe::{INITIAL_PROBES, probe_worker};
 
 /// Plans when woken by a change, and at least once per planning interval.
 pub(super) async fn run(node: Arc<Node>) {
@@ -50,6 +52,7 @@
         return Vec::new();
     };
     let domains = ownership::domains(state).len();
+    let loading_domains = loading_domains(state, service);
     let mut planners = std::mem::take(&mut state.ownership.planners);
     let mut commands = Vec::new();
     for (name, planner) in &mut planners {
@@ -64,6 +67,7 @@
             workers: &workers,
             remote_groups: &remote_groups,
             domain_count: domains,
+            loading_domains,
         }));
     }
     state.ownership.planners = planners;
@@ -93,6 +97,22 @@
         .collect()
 }
 
+/// Counts the fabric domains with workers that accept new work and hold no weights.
+fn loading_domains(state: &State, service: &Service) -> usize {
+    let records = state.registry.records();
+    let empty = records.filter(|record| {
+        let instance = &record.instance;
+        record.is_listed()
+            && record.is_ready()
+            && instance.staged.is_empty()
+            && instance.service == service.name
+    });
+    let domains: BTreeSet<_> = empty
+        .filter_map(|record| record.instance.domain.as_ref())
+        .collect();
+    domains.len()
+}
+
 /// Counts the complete groups of each model in other domains.
 fn remote_groups(state: &State, service: &Service, domain: &domain::Name) -> GroupCounts {
     let mut counts = GroupCounts::new();
@@ -113,23 +133,35 @@
 }
 
 async fn send_order(node: Arc<Node>, command: Command) {
-    let kind = command.order.kind();
-    let fence = command.order.fence();
     let outcome = node.platform.order(&command).await;
-    let label = match outcome {
-        OrderOutcome::Accepted => "accepted",
-        OrderOutcome::Unfitting => "unfitting",
-        OrderOutcome::Fenced => "fenced",
-        OrderOutcome::Misdirected => "misdirected",
-        OrderOutcome::Refused(_) => "refused",
-        OrderOutcome::Unreachable => "unreachable",
-        OrderOutcome::Lost => "lost",
-    };
+    let kind = command.order.kind();
+    let label = outcome.kind();
     node.metrics.record_order(kind, label);
     log::info!(
         "event=order instance={} order={kind} model={} fence={} answer={label}",
         command.instance,
         command.order.model().map_or("none", |m| m.as_str()),
-        fence.unwrap_or_default()
+        command.order.fence().unwrap_or_default()
     );
+    let Some(worker) = record_outcome(&node, &command, outcome) else {
+        return;
+    };
+    match outcome {
+        Outcome::Accepted => {}
+        Outcome::Unreachable | Outcome::Lost => probe_worker(&node, worker, INITIAL_PROBES),
+        Outcome::Unfitting | Outcome::Fenced | Outcome::Misdirected | Outcome::Refused(_) => {
+            node.wake_planner();
+        }
+    }
+}
+
+/// Reports the outcome of an order to the planner of the worker's domain; returns the worker if
+/// it is still known.
+fn record_outcome(node: &Node, command: &Command, outcome: Outcome) -> Option<Arc<Instance>> {
+    let now = node.now();
+    let mut state = node.state();
+    let worker = state.registry.get(&command.instance)?.instance.clone();
+    let planner = state.ownership.planners.get_mut(worker.domain.as_ref()?)?;
+    planner.record_outcome(now, command, outcome);
+    Some(worker)
 }
--- a/crates/cyclamen-replica/src/lib.rs
+++ b/crates/cyclamen-replica/src/lib.rs
@@ -15,5 +15,5 @@
 pub use counts::{GroupCounts, target_counts};
 pub use detector::{Detector, Start, Timing};
 pub use groups::{Group, Groups, State};
-pub use order::{CloseMode, Command, Order};
+pub use order::{CloseMode, Command, Order, Outcome};
 pub use planner::{Options, Planner, View, Worker};
--- a/crates/cyclamen-replica/src/order.rs
+++ b/crates/cyclamen-replica/src/order.rs
@@ -99,3 +99,37 @@
         }
     }
 }
+
+/// The outcome of an order to a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The worker has started to carry out the order, or is in the ordered state already.
+    Accepted,
+    /// The order is not valid in the worker's state.
+    Unfitting,
+    /// The worker has received a higher fencing token.
+    Fenced,
+    /// Another worker has the address.
+    Misdirected,
+    /// The worker refused the order for another reason, with this status.
+    Refused(u16),
+    /// No connection was made.
+    Unreachable,
+    /// No response was received; the order may still be carried out.
+    Lost,
+}
+
+impl Outcome {
+    /// Returns the name of the outcome in logs and metrics.
+    pub fn kind(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Unfitting => "unfitting",
+            Self::Fenced => "fenced",
+            Self::Misdirected => "misdirected",
+            Self::Refused(_) => "refused",
+            Self::Unreachable => "unreachable",
+            Self::Lost => "lost",
+        }
+    }
+}
--- a/crates/cyclamen-replica/src/planner.rs
+++ b/crates/cyclamen-replica/src/planner.rs
@@ -1,6 +1,8 @@
 //! Planning of the orders that keep the groups of one fabric domain complete.
 
+mod backoff;
 mod forming;
+mod loads;
 mod spares;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,14 +16,26 @@
 
 use crate::counts::GroupCounts;
 use crate::groups::{Group, Groups, State};
-use crate::order::{CloseMode, Command, Order};
+use crate::order::{CloseMode, Command, Order, Outcome};
+use backoff::Backoff;
 use forming::Forming;
+use loads::{LOAD_TIMEOUT_FACTOR, Loads};
+use spares::is_warm_up;
+
+/// The maximum number of times that a resend interval is doubled.
+const MAX_RESEND_DOUBLINGS: u32 = 8;
 
 /// Timeouts and intervals of a planner.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
-    /// The time after which an order that has had no effect is sent again.
+    /// The time after which an order that has had no effect is sent again; it doubles with each
+    /// repetition.
     pub resend_interval: Duration,
+    /// The maximum time after which an order is sent again.
+    pub max_resend_interval: Duration,
+    /// The time after which an order that the worker has accepted, but that has had no effect, is
+    /// sent again; longer than the list of workers takes to show the effect.
+    pub accepted_resend_interval: Duration,
     /// The time within which every member of a new group has to begin to join; otherwise the
     /// formation is abandoned, so that other workers can be selected.
     pub join_timeout: Duration,
@@ -38,6 +52,8 @@
     fn default() -> Self {
         Self {
             resend_interval: Duration::from_millis(400),
+            max_resend_interval: Duration::from_millis(3_200),
+            accepted_resend_interval: Duration::from_millis(2_000),
             join_timeout: Duration::from_millis(2_500),
             load_window: Duration::from_secs(5),
             settle_time: Duration::from_millis(700),
@@ -76,6 +92,9 @@
     pub remote_groups: &'a GroupCounts,
     /// The number of fabric domains that share the rate limit on loads of weights.
     pub domain_count: usize,
+    /// The number of fabric domains with workers that hold no weights, which share the weight
+    /// store's bandwidth.
+    pub loading_domains: usize,
 }
 
 impl View<'_> {
@@ -89,6 +108,26 @@
     }
 }
 
+/// An order that was sent to a worker.
+#[derive(Debug)]
+struct Sent {
+    order: Order,
+    at: Time,
+    /// How often it was sent again.
+    repetitions: u32,
+    /// Whether the worker has accepted it.
+    accepted: bool,
+}
+
+/// A group that is being dissolved.
+#[derive(Debug)]
+struct Dissolving {
+    /// The members that were present when its dissolution began.
+    members: BTreeSet<instance::Id>,
+    /// Whether these are all members of the group.
+    is_complete: bool,
+}
+
 /// Computes the orders that keep the groups of one fabric domain complete.
 ///
 /// The state of the groups is read from the workers; a planner that takes over a
@@ -98,18 +137,18 @@
     domain: domain::Name,
     options: Options,
     fence: group::Fence,
-    sent: BTreeMap<instance::Id, (Order, Time)>,
+    /// The last order to each worker.
+    sent: BTreeMap<instance::Id, Sent>,
     forming: BTreeMap<group::Id, Forming>,
-    /// Groups that are being dissolved, with their heads.
-    dissolving: BTreeMap<(group::Id, group::Fence), Option<instance::Id>>,
+    dissolving: BTreeMap<(group::Id, group::Fence), Dissolving>,
+    /// When the members of groups that this planner does not form, or no longer, have to be ready.
+    ready_deadlines: BTreeMap<(group::Id, group::Fence), Time>,
     /// The model of each worker's last group, with the incarnation that joined it.
     last_model: BTreeMap<instance::Id, (instance::Incarnation, model::Name)>,
-    /// Workers that did not begin to join in time, and until when they are not considered again.
-    join_backoff: BTreeMap<instance::Id, Time>,
-    load_times: Vec<Time>,
-    /// Single-member groups that spares join to warm up, so that a later join of the same model
-    /// is fast, with the times of the orders.
-    warming: BTreeMap<group::Id, Time>,
+    backoff: Backoff,
+    loads: Loads,
+    /// When spares were last ordered to warm up.
+    warm_ups: BTreeMap<instance::Id, Time>,
     /// The last number of listed workers, and since when it has not grown.
     listed: Option<(usize, Time)>,
 }
@@ -124,10 +163,11 @@
             sent: BTreeMap::new(),
             forming: BTreeMap::new(),
             dissolving: BTreeMap::new(),
+            ready_deadlines: BTreeMap::new(),
             last_model: BTreeMap::new(),
-            join_backoff: BTreeMap::new(),
-            load_times: Vec::new(),
-            warming: BTreeMap::new(),
+            backoff: Backoff::default(),
+            loads: Loads::default(),
+            warm_ups: BTreeMap::new(),
             listed: None,
         }
     }
@@ -135,6 +175,12 @@
     /// Returns the orders to send now.
     pub fn plan(&mut self, view: &View<'_>) -> Vec<Command> {
         self.update_tracking(view);
+        let workers = self.without_displaced(view.workers);
+        let view = &View {
+            workers: &workers,
+            ..*view
+        };
+        self.loads.update(view, self.options.load_window);
         let listed = view.workers.iter().map(|w| &w.instance);
         let groups = Groups::from_instances(listed);
         let mut orders = Vec::new();
@@ -142,22 +188,62 @@
         self.reconcile_formed(view, &groups, &mut orders);
         self.dissolving
             .retain(|(id, fence), _| groups.get(id, *fence).is_some());
+        self.ready_deadlines
+            .retain(|(id, fence), _| groups.get(id, *fence).is_some());
         if !self.is_settled(view, &groups) {
             return Vec::new();
         }
-        let mut free = self.free_workers(view, &groups);
-        let existing = self.existing_groups(view, &groups);
-        self.form_groups(view, &existing, &mut free, &mut orders);
-        let existing = self.existing_groups(view, &groups);
-        self.prepare_spares(view, &existing, &free, &mut orders);
+        if has_enough_workers(view) {
+            let mut free = self.free_workers(view, &groups);
+            let existing = self.existing_groups(view, &groups);
+            self.form_groups(view, &existing, &mut free, &mut orders);
+            let existing = self.existing_groups(view, &groups);
+            self.prepare_spares(view, &existing, &free, &mut orders);
+        }
         orders.retain(|command| self.is_due(view.now, command));
         for command in &orders {
-            let sent = (command.order.clone(), view.now);
-            self.sent.insert(command.instance.clone(), sent);
+            self.record_sent(view.now, command);
         }
         orders
     }
 
+    /// Records the outcome of an order that this planner returned.
+    ///
+    /// A worker that refused an order or could not be reached is passed over for a while. A
+    /// group whose member refused to join is abandoned.
+    pub fn record_outcome(&mut self, now: Time, command: &Command, outcome: Outcome) {
+        let id = &command.instance;
+        match outcome {
+            Outcome::Accepted => {
+                let last = self.sent.get_mut(id);
+                if let Some(last) = last.filter(|last| last.order == command.order) {
+                    last.accepted = true;
+                }
+                return;
+            }
+            Outcome::Unreachable | Outcome::Lost => {
+                self.backoff.record_failure(now, id);
+                return;
+            }
+            Outcome::Misdirected => self.backoff.record_displaced(now, id),
+            Outcome::Unfitting | Outcome::Fenced | Outcome::Refused(_) => {}
+        }
+        match &command.order {
+            Order::Join { group, fence, .. } => {
+                self.backoff.record_failure(now, id);
+                let current = self.forming.get(group);
+                if current.is_some_and(|forming| forming.fence == *fence) {
+                    self.forming.remove(group);
+                }
+            }
+            Order::Stage { .. } => {
+                self.backoff.record_failure(now, id);
+                self.loads.record_refusal(id);
+            }
+            Order::Open { .. } | Order::Close { .. } | Order::Leave { .. } => {}
+        }
+    }
+
     /// Returns whether a group is being formed or dissolved.
     pub fn is_busy(&self) -> bool {
         !self.forming.is_empty() || !self.dissolving.is_empty()
@@ -185,14 +271,23 @@
                 self.last_model.insert(instance.id.clone(), last);
             }
         }
-        let listed: BTreeSet<_> = view.workers.iter().map(|w| &w.instance.id).collect();
-        self.last_model.retain(|id, _| listed.contains(id));
-        self.sent.retain(|id, _| listed.contains(id));
-        self.join_backoff.retain(|_, until| view.now < *until);
-        let window = self.options.load_window;
-        self.load_times.retain(|at| view.now.since(*at) < window);
+        let listed = view.workers.iter();
+        let listed = listed.map(|w| (&w.instance.id, w.instance.as_ref()));
+        let listed: BTreeMap<_, _> = listed.collect();
+        self.last_model.retain(|id, _| listed.contains_key(id));
+        self.sent.retain(|id, _| listed.contains_key(id));
+        self.backoff.update(&listed);
         let timeout = self.options.warmup_timeout;
-        self.warming.retain(|_, at| view.now.since(*at) < timeout);
+        self.warm_ups.retain(|_, at| view.now.since(*at) < timeout);
+    }
+
+    /// Returns the workers with those as failed whose addresses other workers have.
+    fn without_displaced(&self, workers: &[Worker]) -> Vec<Worker> {
+        let mut workers = workers.to_vec();
+        for worker in &mut workers {
+            worker.alive &= !self.backoff.is_displaced(&worker.instance.id);
+        }
+        workers
     }
 
     /// Closes groups that have a leaving member and dissolves those that can no longer serve.
@@ -203,7 +298,7 @@
             }
             let has_leaving = group.members.values().any(|m| m.status == Status::Leaving);
             match group.state(view.engine, |m| view.is_lost(m)) {
-                State::Joining => {}
+                State::Joining => self.dissolve_overdue(view, group, orders),
                 State::Closing => {}
                 State::Serving if has_leaving => {
                     orders.extend(command_head(group, |group, fence| Order::Close {
@@ -220,13 +315,34 @@
         }
     }
 
-    /// Orders every member that counts as alive to leave the group.
-    fn dissolve(&mut self, view: &View<'_>, group: &Group, orders: &mut Vec<Command>) {
+    /// Dissolves a group that this planner does not form if its members should be ready.
+    fn dissolve_overdue(&mut self, view: &View<'_>, group: &Group, orders: &mut Vec<Command>) {
         let key = (group.id.clone(), group.fence);
-        let head = group.head().map(|h| h.id.clone());
-        self.dissolving.entry(key).or_insert(head);
-        let alive = group.members.values().filter(|m| !view.is_lost(m));
-        orders.extend(alive.map(|member| Command {
+        let model = group.model.as_ref().and_then(|m| view.engine.model(m));
+        let load = model.map(|m| m.load).unwrap_or_default();
+        let deadline = view.now + load * LOAD_TIMEOUT_FACTOR;
+        let deadline = *self.ready_deadlines.entry(key).or_insert(deadline);
+        if view.now >= deadline {
+            self.dissolve(view, group, orders);
+        }
+    }
+
+    /// Orders every member that counts as alive to leave the group, except those that were ordered
+    /// to join another one.
+    fn dissolve(&mut self, view: &View<'_>, group: &Group, orders: &mut Vec<Command>) {
+        if !is_warm_up(&group.id) {
+            let key = (group.id.clone(), group.fence);
+            let model = group.model.as_ref().and_then(|m| view.engine.model(m));
+            let members = group.members.values().map(|m| m.id.clone());
+            self.dissolving.entry(key).or_insert_with(|| Dissolving {
+                members: members.collect(),
+                is_complete: model.is_some_and(|m| group.members.len() >= m.size),
+            });
+        }
+        let joining: BTreeSet<_> = self.forming.values().flat_map(Forming::ids).collect();
+        let members = group.members.values();
+        let remaining = members.filter(|m| !view.is_lost(m) && !joining.contains(&m.id));
+        orders.extend(remaining.map(|member| Command {
             instance: member.id.clone(),
             address: member.address,
             order: Order::Leave {
@@ -238,28 +354,31 @@
 
     /// Returns the workers that may join a group.
     ///
-    /// Returns none while the head of a group that is being dissolved still responds as its
-    /// head, because workers that have left that group must not join another one before its head
-    /// has left.
+    /// Workers that have left a group that is being dissolved must not join another one while
+    /// its head still responds as its head. If some members of such a group are unknown, no
+    /// worker may.
     fn free_workers<'a>(&self, view: &View<'a>, groups: &Groups) -> Vec<&'a Worker> {
-        let head_remains = self.dissolving.keys().any(|(id, fence)| {
-            let group = groups.get(id, *fence);
-            let head = group.and_then(Group::head);
-            head.is_some_and(|head| !view.is_lost(head))
-        });
-        if head_remains {
-            return Vec::new();
+        let mut bound: BTreeSet<_> = self.forming.values().flat_map(Forming::ids).collect();
+        for ((id, fence), dissolving) in &self.dissolving {
+            let head = groups.get(id, *fence).and_then(Group::head);
+            if head.is_none_or(|head| view.is_lost(head)) {
+                continue;
+            }
+            if !dissolving.is_complete {
+                return Vec::new();
+            }
+            bound.extend(&dissolving.members);
         }
-        let joining: BTreeSet<_> = self.forming.values().flat_map(Forming::ids).collect();
         let workers = view.workers.iter();
         workers
             .filter(|w| {
                 let instance = &w.instance;
                 let present = w.alive && w.listed && !w.suspected;
                 let ready = present && w.zone_active && instance.status == Status::Ready;
-                let backing_off = self.join_backoff.contains_key(&instance.id);
-                let member = instance.membership.is_some() || joining.contains(&instance.id);
-                ready && !backing_off && !member
+                let passed_over = self.backoff.is_passed_over(view.now, &instance.id);
+                let membership = instance.membership.as_ref();
+                let member = membership.is_some_and(|m| !is_warm_up(&m.group));
+                ready && !passed_over && !member && !bound.contains(&instance.id)
             })
             .collect()
     }
@@ -286,10 +405,30 @@
     /// passed.
     fn is_due(&self, now: Time, command: &Command) -> bool {
         let last = self.sent.get(&command.instance);
-        let just_sent = |(order, at): &(Order, Time)| {
-            *order == command.order && now.since(*at) < self.options.resend_interval
+        let Some(last) = last.filter(|last| last.order == command.order) else {
+            return true;
+        };
+        let factor = 1 << last.repetitions.min(MAX_RESEND_DOUBLINGS);
+        let interval = self.options.resend_interval * factor;
+        let interval = interval.min(self.options.max_resend_interval);
+        let interval = if last.accepted {
+            interval.max(self.options.accepted_resend_interval)
+        } else {
+            interval
         };
-        !last.is_some_and(just_sent)
+        now.since(last.at) >= interval
+    }
+
+    fn record_sent(&mut self, now: Time, command: &Command) {
+        let last = self.sent.get(&command.instance);
+        let same = last.filter(|last| last.order == command.order);
+        let sent = Sent {
+            order: command.order.clone(),
+            at: now,
+            repetitions: same.map_or(0, |last| last.repetitions.saturating_add(1)),
+            accepted: false,
+        };
+        self.sent.insert(command.instance.clone(), sent);
     }
 
     fn next_fence(&mut self) -> group::Fence {
@@ -298,6 +437,16 @@
     }
 }
 
+/// Returns whether the workers of the domain could form a group of any model.
+fn has_enough_workers(view: &View<'_>) -> bool {
+    let usable = view.workers.iter().filter(|w| {
+        let present = w.alive && w.listed && w.zone_active;
+        present && w.instance.status == Status::Ready
+    });
+    let smallest = view.engine.models.iter().map(|m| m.size).min();
+    smallest.is_some_and(|size| usable.count() >= size)
+}
+
 /// Returns an order to the head of a group, if the head is present.
 fn command_head(
     group: &Group,
--- a/crates/cyclamen-replica/src/planner/forming.rs
+++ b/crates/cyclamen-replica/src/planner/forming.rs
@@ -5,23 +5,27 @@
 
 use cyclamen_directory::Instance;
 use cyclamen_directory::instance::{Phase, Status};
+use cyclamen_directory::service::Model;
 use cyclamen_types::{Time, group, instance, model};
 
 use crate::counts::{GroupCounts, target_counts};
 use crate::groups::Groups;
 use crate::order::{Command, Order};
+use crate::planner::loads::LOAD_TIMEOUT_FACTOR;
 use crate::planner::{Planner, View, Worker, command_head};
 
-/// How long a worker that did not begin to join in time is not considered for another group.
-const JOIN_BACKOFF: std::time::Duration = std::time::Duration::from_secs(3);
-
 /// A group that is being formed: its first join order was sent, and its head does not serve yet.
 #[derive(Debug)]
 pub(super) struct Forming {
     pub(super) model: model::Name,
-    fence: group::Fence,
+    pub(super) fence: group::Fence,
+    /// Whether the members load weights to join.
+    pub(super) loads: bool,
     members: Vec<Arc<Instance>>,
-    since: Time,
+    /// When every member has to have begun to join.
+    join_deadline: Time,
+    /// When every member has to be ready.
+    ready_deadline: Time,
 }
 
 impl Forming {
@@ -64,20 +68,27 @@
         forming: &Forming,
         orders: &mut Vec<Command>,
     ) -> bool {
-        let late = view.now.since(forming.since) >= self.options.join_timeout;
         let mut ready = 0;
         for (rank, member) in forming.members.iter().enumerate() {
-            match progress(view, id, forming.fence, rank, member) {
-                Progress::Lost => return false,
-                Progress::Waiting if late => {
-                    let until = view.now + JOIN_BACKOFF;
-                    self.join_backoff.insert(member.id.clone(), until);
-                    return false;
+            let late = match progress(view, id, forming.fence, rank, member) {
+                Progress::Lost | Progress::Ready(Phase::Open) => return false,
+                Progress::Ready(_) => {
+                    self.backoff.record_success(&member.id);
+                    ready += 1;
+                    false
                 }
-                Progress::Waiting => orders.push(join(id, forming, member)),
-                Progress::Joining => {}
-                Progress::Ready(Phase::Open) => return false,
-                Progress::Ready(_) => ready += 1,
+                Progress::Waiting if view.now < forming.join_deadline => {
+                    orders.push(join(id, forming, member));
+                    false
+                }
+                Progress::Waiting => true,
+                Progress::Joining => view.now >= forming.ready_deadline,
+            };
+            if late {
+                let key = (id.clone(), forming.fence);
+                self.backoff.record_failure(view.now, &member.id);
+                self.ready_deadlines.insert(key, view.now);
+                return false;
             }
         }
         if ready == forming.members.len()
@@ -110,7 +121,7 @@
             for _ in 0..missing {
                 if let Some(members) = self.select_workers(view, free, &model.name, model.size) {
                     free.retain(|w| !members.iter().any(|m| m.id == w.instance.id));
-                    self.form(view.now, &model.name, members, orders);
+                    self.form(view.now, model, members, orders);
                 }
             }
         }
@@ -161,7 +172,7 @@
     fn form(
         &mut self,
         now: Time,
-        model: &model::Name,
+        model: &Model,
         members: Vec<Arc<Instance>>,
         orders: &mut Vec<Command>,
     ) {
@@ -169,15 +180,19 @@
         let Ok(id) = format!("{}-{fence}", self.domain).parse::<group::Id>() else {
             return;
         };
-        let staged = members.iter().all(|m| m.staged.contains(model));
-        if !staged {
-            self.load_times.extend(members.iter().map(|_| now));
+        let loads = !members.iter().all(|m| m.staged.contains(&model.name));
+        if loads {
+            self.loads.record_joins(now, members.len());
         }
+        let join_time = if loads { model.load } else { model.warm };
+        let join_deadline = now + self.options.join_timeout;
         let forming = Forming {
-            model: model.clone(),
+            model: model.name.clone(),
             fence,
+            loads,
             members,
-            since: now,
+            join_deadline,
+            ready_deadline: join_deadline + join_time * LOAD_TIMEOUT_FACTOR,
         };
         orders.extend(forming.members.iter().map(|m| join(&id, &forming, m)));
         self.forming.insert(id, forming);
--- a/crates/cyclamen-replica/src/planner/spares.rs
+++ b/crates/cyclamen-replica/src/planner/spares.rs
@@ -5,7 +5,7 @@
 use cyclamen_directory::Instance;
 use cyclamen_directory::instance::Phase;
 use cyclamen_directory::service::Model;
-use cyclamen_types::{group, instance};
+use cyclamen_types::group;
 
 use crate::counts::{GroupCounts, target_counts};
 use crate::groups::Group;
@@ -18,6 +18,15 @@
 /// The factor by which a spare has to be more valuable to another model before it is restaged.
 const RESTAGE_GAIN_FACTOR: f64 = 2.0;
 
+/// The end of the name of a single-member group that a spare joins to warm up, so that a later
+/// join of the same model is fast.
+const WARM_UP_SUFFIX: &str = "-warm";
+
+/// Returns whether a group is one that a spare joins to warm up; it never serves.
+pub(super) fn is_warm_up(group: &group::Id) -> bool {
+    group.as_str().ends_with(WARM_UP_SUFFIX)
+}
+
 /// Returns the value of the `count`th spare of a model, in worker-seconds: the
 /// capacity that would be missing while a replacement loads, times the
 /// probability that at least `count` members are lost in that time.
@@ -49,24 +58,28 @@
         orders: &mut Vec<Command>,
     ) {
         let mut spares = count_spares(free);
-        self.add_warming(view, &mut spares);
         let wanted = target_counts(view.engine, free.len(), existing, view.remote_groups);
         let mut idle: Vec<&Worker> = free.to_vec();
-        idle.retain(|w| !self.is_staging(view, &w.instance.id));
+        idle.retain(|w| self.is_idle(&w.instance));
+        let mut missing: Vec<(&Model, usize)> = Vec::new();
         for model in &view.engine.models {
             let present = existing.get(&model.name).copied().unwrap_or(0);
-            let missing = wanted.get(&model.name).copied().unwrap_or(0) > present;
             let held = spares.get(&model.name).copied().unwrap_or(0);
-            let lacking = model
-                .size
-                .saturating_sub(held + self.staging_count(view, model));
-            for _ in 0..if missing { lacking } else { 0 } {
+            let held = held + self.loads.staging_count(model);
+            if wanted.get(&model.name).copied().unwrap_or(0) > present {
+                missing.push((model, model.size.saturating_sub(held)));
+            }
+        }
+        // The group that can be formed first goes first.
+        missing.sort_by_key(|(model, lacking)| model.load.saturating_mul(*lacking as u32));
+        for (model, lacking) in missing {
+            for _ in 0..lacking {
                 self.stage(view, model, &mut idle, orders);
             }
         }
         self.warm_up(view, &mut idle, orders);
         for model in &view.engine.models {
-            *spares.entry(model.name.clone()).or_default() += self.staging_count(view, model);
+            *spares.entry(model.name.clone()).or_default() += self.loads.staging_count(model);
         }
         while let Some((worker, model)) = self.next_spare(view, existing, &spares, &idle) {
             for held in &worker.instance.staged {
@@ -128,10 +141,11 @@
                 continue;
             }
             let fence = self.next_fence();
-            let Ok(group) = format!("{}-{fence}", self.domain).parse::<group::Id>() else {
+            let name = format!("{}-{fence}{WARM_UP_SUFFIX}", self.domain);
+            let Ok(group) = name.parse::<group::Id>() else {
                 continue;
             };
-            self.warming.insert(group.clone(), view.now);
+            self.warm_ups.insert(instance.id.clone(), view.now);
             warming.push(instance.id.clone());
             orders.push(Command {
                 instance: instance.id.clone(),
@@ -147,24 +161,20 @@
         idle.retain(|w| !warming.contains(&w.instance.id));
     }
 
-    /// Adds the spares that are warming up to the counts.
-    fn add_warming(&self, view: &View<'_>, spares: &mut GroupCounts) {
-        for worker in view.workers.iter().filter(|w| w.alive) {
-            let membership = worker.instance.membership.as_ref();
-            let warming = membership.is_some_and(|m| self.warming.contains_key(&m.group));
-            for model in worker.instance.staged.iter().filter(|_| warming) {
-                *spares.entry(model.clone()).or_default() += 1;
-            }
-        }
+    /// Returns whether a free worker neither loads weights nor warms up.
+    fn is_idle(&self, instance: &Instance) -> bool {
+        let warming = instance.membership.is_some() || self.warm_ups.contains_key(&instance.id);
+        !warming && !self.loads.is_staging(&instance.id)
     }
 
     /// Returns whether a group consists of a spare that is warming up.
     pub(super) fn is_warming(&self, view: &View<'_>, group: &Group) -> bool {
         let joining = |m: &Arc<Instance>| {
             let phase = m.membership.as_ref().map(|m| m.phase);
-            phase == Some(Phase::Joining) && !view.is_lost(m)
+            let ordered = self.warm_ups.contains_key(&m.id);
+            ordered && phase == Some(Phase::Joining) && !view.is_lost(m)
         };
-        self.warming.contains_key(&group.id) && group.members.values().any(joining)
+        is_warm_up(&group.id) && group.members.values().any(joining)
     }
 
     /// Orders the idle worker with the lowest join cost to load the weights of a model.
@@ -183,7 +193,8 @@
             return;
         };
         idle.retain(|w| w.instance.id != worker.instance.id);
-        self.load_times.push(view.now);
+        let id = &worker.instance.id;
+        self.loads.record_stage(view.now, id, &model.name);
         orders.push(Command {
             instance: worker.instance.id.clone(),
             address: worker.instance.address,
@@ -192,45 +203,4 @@
             },
         });
     }
-
-    /// Counts the workers that are loading the weights of a model.
-    fn staging_count(&self, view: &View<'_>, model: &Model) -> usize {
-        let sent = self.sent.iter();
-        sent.filter(|(id, (order, _))| {
-            let this = matches!(order, Order::Stage { model: m } if *m == model.name);
-            this && self.is_staging(view, id)
-        })
-        .count()
-    }
-
-    /// Returns whether a worker was ordered to load weights that its host does not hold yet, less
-    /// than twice the load time ago.
-    fn is_staging(&self, view: &View<'_>, id: &instance::Id) -> bool {
-        let Some((Order::Stage { model }, at)) = self.sent.get(id) else {
-            return false;
-        };
-        let holds = view
-            .worker(id)
-            .is_none_or(|w| w.instance.staged.contains(model));
-        let load = view.engine.model(model).map(|m| m.load);
-        let in_time = load.is_some_and(|load| view.now.since(*at) < 2 * load);
-        !holds && in_time
-    }
-
-    /// Returns whether `count` loads of weights may begin now.
-    ///
-    /// The rate limit does not apply while no worker of the domain holds any weights.
-    pub(super) fn may_load(&self, view: &View<'_>, count: usize) -> bool {
-        let initial = view.workers.iter().all(|w| w.instance.staged.is_empty());
-        initial || self.load_times.len() + count <= self.load_limit(view)
-    }
-
-    /// Returns how many loads may begin in a window: this domain's share of the weight store's
-    /// rate limit, but at least one.
-    fn load_limit(&self, view: &View<'_>) -> usize {
-        let window = self.options.load_window.as_secs_f64();
-        let all = view.engine.loads_per_second * window;
-        let part = all / view.domain_count.max(1) as f64;
-        (part as usize).max(1)
-    }
 }
--- a/crates/cyclamen-replica/tests/replica/groups.rs
+++ b/crates/cyclamen-replica/tests/replica/groups.rs
@@ -2,12 +2,18 @@
 
 use std::time::Duration;
 
+use cyclamen_replica::{Command, Order};
+use cyclamen_types::Time;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
 use crate::simulation::{Delivery, Simulation};
 
 const START: Duration = Duration::from_secs(25);
+/// The period over which orders are counted.
+const ORDER_PERIOD: Duration = Duration::from_secs(10);
+/// How many orders a planner may send in a period, for each worker that ever was in the domain.
+const MAX_ORDERS_PER_WORKER: usize = 10;
 
 fn count(sim: &Simulation, model: &str) -> usize {
     let name = model.parse().unwrap();
@@ -104,6 +110,64 @@
     assert_eq!(sim.max_loads_in_window(loaded_at), 1);
 }
 
+#[test]
+fn a_spare_warms_up_once_while_the_list_lags() {
+    let mut sim = Simulation::new(8);
+    sim.lag = Duration::from_secs(1);
+    sim.run(START + START);
+    let single = |command: &&Command| matches!(&command.order, Order::Join { members, .. } if members.len() == 1);
+    let warm_ups = sim.orders_after(Time::default()).filter(single).count();
+    assert!(
+        (1..=2).contains(&warm_ups),
+        "{warm_ups} orders for two spares"
+    );
+}
+
+#[test]
+fn a_member_that_never_gets_ready_is_replaced() {
+    let mut sim = Simulation::new(8);
+    sim.stick(0);
+    sim.run(Duration::from_secs(120));
+    assert_eq!((count(&sim, "large"), count(&sim, "small")), (1, 1));
+}
+
+#[test]
+fn a_worker_that_has_lost_its_address_is_passed_over() {
+    let mut sim = Simulation::new(8);
+    sim.displace(0);
+    sim.displace(1);
+    sim.run(START);
+    let groups = (count(&sim, "large"), count(&sim, "small"));
+    assert_eq!(groups, (1, 1));
+    let before = sim.now;
+    sim.run(START);
+    let orders = sim.orders_after(before).count();
+    assert!(orders <= 4, "{orders} orders to two workers that are gone");
+}
+
+#[test]
+fn too_few_workers_for_any_group_get_no_orders() {
+    let mut sim = Simulation::new(1);
+    sim.run(START);
+    assert_eq!(sim.orders_after(Time::default()).count(), 0);
+}
+
+#[test]
+fn loads_in_progress_keep_to_the_domains_share_of_the_weight_store() {
+    let mut sim = Simulation::new(8);
+    sim.run(START + START);
+    sim.has_traffic = true;
+    for n in 0..6 {
+        sim.crash(n);
+        sim.add();
+    }
+    sim.max_concurrent_loads = 0;
+    sim.run(Duration::from_secs(120));
+    assert!(count(&sim, "large") >= 1, "{:?}", sim.serving());
+    assert!(count(&sim, "small") >= 1, "{:?}", sim.serving());
+    assert_eq!(sim.max_concurrent_loads, 1);
+}
+
 /// An event that affects the workers, the delivery of orders or the planner.
 #[derive(Debug, Clone)]
 enum Event {
@@ -116,6 +180,12 @@
     DelayOrders(u64),
     DeliverOrders,
     ReplacePlanner,
+    /// The list of workers is out of date by a number of milliseconds.
+    Lag(u64),
+    /// The loads of a worker stop.
+    Stick(usize),
+    /// Another worker gets the address of a worker.
+    Displace(usize),
     Wait(u64),
 }
 
@@ -130,6 +200,9 @@
         2 => (100..12_000_u64).prop_map(Event::DelayOrders),
         3 => Just(Event::DeliverOrders),
         1 => Just(Event::ReplacePlanner),
+        1 => (0..1_500_u64).prop_map(Event::Lag),
+        1 => (0..16_usize).prop_map(Event::Stick),
+        1 => (0..16_usize).prop_map(Event::Displace),
         8 => (50..4_000_u64).prop_map(Event::Wait),
     ]
 }
@@ -146,14 +219,16 @@
 proptest! {
     #![proptest_config(config())]
 
-    /// Under any sequence of failures, no group opens without all of its members and no member
-    /// of a serving group joins another one; after the failures end, the domain serves again.
+    /// Under any sequence of failures, no group opens without all of its members, no member of a
+    /// serving group joins another one, and the number of orders is bounded; after the failures
+    /// end, the domain serves again.
     #[test]
     fn no_partial_group_serves_and_no_worker_is_in_two_groups(
         events in prop::collection::vec(event(), 1..60),
     ) {
         let mut sim = Simulation::new(8);
         sim.run(START);
+        sim.has_traffic = true;
         for event in events {
             match event {
                 Event::Crash(n) => sim.crash(n),
@@ -165,6 +240,9 @@
                 Event::DelayOrders(millis) => sim.delivery = Delivery::Delayed(millis),
                 Event::DeliverOrders => sim.delivery = Delivery::Immediate,
                 Event::ReplacePlanner => sim.replace_planner(),
+                Event::Lag(millis) => sim.lag = Duration::from_millis(millis),
+                Event::Stick(n) => sim.stick(n),
+                Event::Displace(n) => sim.displace(n),
                 Event::Wait(millis) => sim.run(Duration::from_millis(millis)),
             }
             prop_assert_eq!(&sim.violations, &Vec::<String>::new());
@@ -175,6 +253,8 @@
         }
         sim.run(Duration::from_secs(90));
         prop_assert_eq!(&sim.violations, &Vec::<String>::new());
+        let most = sim.max_orders_within(ORDER_PERIOD);
+        prop_assert!(most <= MAX_ORDERS_PER_WORKER * sim.worker_count(), "{most} orders");
         prop_assert!(count(&sim, "large") >= 1, "{:?}", sim.serving());
         prop_assert!(count(&sim, "small") >= 1, "{:?}", sim.serving());
     }
--- a/crates/cyclamen-replica/tests/replica/simulation.rs
+++ b/crates/cyclamen-replica/tests/replica/simulation.rs
@@ -1,6 +1,6 @@
 //! A simulation of one fabric domain whose workers execute orders as model engines do.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +8,7 @@
 use cyclamen_directory::Instance;
 use cyclamen_directory::instance::{Membership, Phase, Status};
 use cyclamen_directory::service::{Engine, Model};
-use cyclamen_replica::{Command, GroupCounts, Order, Planner, View, Worker};
+use cyclamen_replica::{Command, GroupCounts, Order, Outcome, Planner, View, Worker};
 use cyclamen_types::{Time, group, instance, model};
 
 pub const TICK: Duration = Duration::from_millis(50);
@@ -18,16 +18,15 @@
 const LISTING_TTL: Duration = Duration::from_millis(3_600);
 /// The time to join if the worker's last group had the same model.
 const WARM_JOIN_TIME: Duration = Duration::from_millis(200);
-/// The time to join with weights that the host holds.
-const STAGED_JOIN_TIME: Duration = Duration::from_millis(1_600);
 
 pub fn engine() -> Engine {
-    let model = |name: &str, size, share, load| Model {
+    let model = |name: &str, size, share, load, warm| Model {
         name: name.parse().unwrap(),
         size,
         share,
         pace: 1.0,
         load: Duration::from_secs(load),
+        warm: Duration::from_millis(warm),
     };
     Engine {
         slots: 26,
@@ -37,7 +36,11 @@
         chunk: 2_048,
         stride: 5,
         loads_per_second: 4.0,
-        models: vec![model("large", 4, 0.67, 16), model("small", 2, 0.33, 12)],
+        concurrent_loads: Some(6),
+        models: vec![
+            model("large", 4, 0.67, 16, 1_600),
+            model("small", 2, 0.33, 12, 1_100),
+        ],
     }
 }
 
@@ -47,9 +50,18 @@
     membership: Membership,
     members: Vec<instance::Id>,
     model: model::Name,
+    /// When the member is ready, unless weights have to be loaded first.
     ready_at: Time,
 }
 
+/// A load of weights in progress.
+#[derive(Debug, Clone)]
+struct Load {
+    model: model::Name,
+    /// The time that it still takes if the weight store is not overloaded.
+    remaining: Duration,
+}
+
 #[derive(Debug, Clone)]
 struct SimWorker {
     incarnation: u64,
@@ -59,7 +71,28 @@
     last_fence: group::Fence,
     last_model: Option<model::Name>,
     staged: Vec<model::Name>,
-    staging: Option<(model::Name, Time)>,
+    load: Option<Load>,
+    /// Whether loads make no progress.
+    stuck: bool,
+    /// Whether another worker has its address.
+    displaced: bool,
+}
+
+impl SimWorker {
+    fn new(incarnation: u64, staged: Vec<model::Name>) -> Self {
+        Self {
+            incarnation,
+            stopped: None,
+            leaving: false,
+            member: None,
+            last_fence: group::Fence(0),
+            last_model: None,
+            staged,
+            load: None,
+            stuck: false,
+            displaced: false,
+        }
+    }
 }
 
 /// The workers of one fabric domain and the planner of its owner.
@@ -72,6 +105,16 @@
     /// Delayed orders, with the times at which they are executed.
     delayed: Vec<(Time, Command)>,
     load_times: Vec<Time>,
+    /// Whether requests arrive; before that, the weight store is fast and has no limit.
+    pub has_traffic: bool,
+    /// The largest number of loads in progress at the same time.
+    pub max_concurrent_loads: usize,
+    /// All orders that were sent, with the times.
+    orders: Vec<(Time, Command)>,
+    /// How long the list of workers is out of date.
+    pub lag: Duration,
+    /// The states of the workers at the last steps, oldest first.
+    listings: VecDeque<(Time, Vec<Worker>)>,
     /// The number of fabric domains that share the rate limit on loads.
     pub domain_count: usize,
     /// How orders are delivered.
@@ -101,6 +144,11 @@
             sim_workers: BTreeMap::new(),
             delayed: Vec::new(),
             load_times: Vec::new(),
+            has_traffic: false,
+            max_concurrent_loads: 0,
+            orders: Vec::new(),
+            lag: Duration::ZERO,
+            listings: VecDeque::new(),
             domain_count: 6,
             delivery: Delivery::Immediate,
             violations: Vec::new(),
@@ -114,17 +162,7 @@
 
     pub fn add(&mut self) {
         let id = format!("w{}", self.sim_workers.len()).parse().unwrap();
-        let worker = SimWorker {
-            incarnation: 1,
-            stopped: None,
-            leaving: false,
-            member: None,
-            last_fence: group::Fence(0),
-            last_model: None,
-            staged: Vec::new(),
-            staging: None,
-        };
-        self.sim_workers.insert(id, worker);
+        self.sim_workers.insert(id, SimWorker::new(1, Vec::new()));
     }
 
     fn nth(&mut self, n: usize) -> Option<&mut SimWorker> {
@@ -143,16 +181,21 @@
     pub fn restart(&mut self, n: usize) {
         if let Some(worker) = self.nth(n) {
             let staged = std::mem::take(&mut worker.staged);
-            *worker = SimWorker {
-                incarnation: worker.incarnation + 1,
-                stopped: None,
-                leaving: false,
-                member: None,
-                last_fence: group::Fence(0),
-                last_model: None,
-                staged,
-                staging: None,
-            };
+            *worker = SimWorker::new(worker.incarnation + 1, staged);
+        }
+    }
+
+    /// Makes all loads of a worker stop.
+    pub fn stick(&mut self, n: usize) {
+        if let Some(worker) = self.nth(n) {
+            worker.stuck = true;
+        }
+    }
+
+    /// Gives the address of a worker to another one.
+    pub fn displace(&mut self, n: usize) {
+        if let Some(worker) = self.nth(n) {
+            worker.displaced = true;
         }
     }
 
@@ -236,6 +279,30 @@
         counts.max().unwrap_or(0)
     }
 
+    /// Returns the orders that were sent after a given time.
+    pub fn orders_after(&self, after: Time) -> impl Iterator<Item = &Command> {
+        let later = self.orders.iter().filter(move |(at, _)| *at > after);
+        later.map(|(_, command)| command)
+    }
+
+    /// Returns the largest number of orders that were sent within a period.
+    pub fn max_orders_within(&self, period: Duration) -> usize {
+        let mut first = 0;
+        let mut most = 0;
+        for (last, (at, _)) in self.orders.iter().enumerate() {
+            while at.since(self.orders[first].0) >= period {
+                first += 1;
+            }
+            most = most.max(last + 1 - first);
+        }
+        most
+    }
+
+    /// Returns the number of workers, including those that have stopped.
+    pub fn worker_count(&self) -> usize {
+        self.sim_workers.len()
+    }
+
     pub fn run(&mut self, time: Duration) {
         let until = self.now + time;
         while self.now < until {
@@ -256,38 +323,59 @@
         for (_, command) in due {
             self.execute(&command);
         }
-        let workers = self.workers();
+        let workers = self.listing();
         let view = View {
             now: self.now,
             engine: &self.engine,
             workers: &workers,
             remote_groups: &GroupCounts::new(),
             domain_count: self.domain_count,
+            loading_domains: self.domain_count,
         };
         for command in self.planner.plan(&view) {
-            match self.delivery {
+            self.orders.push((self.now, command.clone()));
+            let outcome = match self.delivery {
                 Delivery::Immediate => self.execute(&command),
-                Delivery::Lost => {}
+                Delivery::Lost => Outcome::Lost,
                 Delivery::Delayed(millis) => {
                     let at = self.now + Duration::from_millis(millis);
-                    self.delayed.push((at, command));
+                    self.delayed.push((at, command.clone()));
+                    Outcome::Lost
                 }
-            }
+            };
+            self.planner.record_outcome(self.now, &command, outcome);
+        }
+    }
+
+    /// Returns the workers as they were one lag ago.
+    fn listing(&mut self) -> Vec<Worker> {
+        let current = self.workers();
+        self.listings.push_back((self.now, current));
+        let is_old = |listing: &(Time, Vec<Worker>)| self.now.since(listing.0) >= self.lag;
+        while self.listings.get(1).is_some_and(is_old) {
+            self.listings.pop_front();
         }
+        let oldest = self.listings.front();
+        oldest
+            .map(|(_, workers)| workers.clone())
+            .unwrap_or_default()
     }
 
     fn advance_workers(&mut self) {
+        self.advance_loads();
         let now = self.now;
         for (id, worker) in &mut self.sim_workers {
-            if let Some((model, due)) = worker.staging.clone()
-                && now >= due
-            {
-                worker.staged = vec![model];
-                worker.staging = None;
-            }
             let Some(member) = &mut worker.member else {
                 continue;
             };
+            let loading = worker
+                .load
+                .as_ref()
+                .is_some_and(|l| l.model == member.model);
+            if loading {
+                let warm = self.engine.model(&member.model).unwrap().warm;
+                member.ready_at = now + warm;
+            }
             if member.membership.phase == Phase::Joining && now >= member.ready_at {
                 member.membership.phase = Phase::Ready;
                 worker.last_model = Some(member.model.clone());
@@ -298,6 +386,40 @@
         }
     }
 
+    /// Advances the loads in progress, which share the weight store.
+    fn advance_loads(&mut self) {
+        let loading = self
+            .sim_workers
+            .values()
+            .filter(|w| w.stopped.is_none() && w.load.is_some());
+        let count = loading.count();
+        self.max_concurrent_loads = self.max_concurrent_loads.max(count);
+        let limit = self.engine.concurrent_loads.unwrap_or(usize::MAX);
+        // Other domains keep their shares of the weight store busy.
+        let share = (limit / self.domain_count.max(1)).max(1);
+        let progress = if !self.has_traffic {
+            10 * TICK
+        } else if count > share {
+            TICK.mul_f64(share as f64 / count as f64)
+        } else {
+            TICK
+        };
+        for worker in self
+            .sim_workers
+            .values_mut()
+            .filter(|w| w.stopped.is_none() && !w.stuck)
+        {
+            let Some(load) = &mut worker.load else {
+                continue;
+            };
+            load.remaining = load.remaining.saturating_sub(progress);
+            if load.remaining.is_zero() {
+                worker.staged = vec![load.model.clone()];
+                worker.load = None;
+            }
+        }
+    }
+
     fn workers(&self) -> Vec<Worker> {
         let listed = self.sim_workers.iter().filter(|(_, worker)| {
             worker
@@ -340,10 +462,13 @@
     }
 
     /// Executes an order as an engine does.
-    fn execute(&mut self, command: &Command) {
+    fn execute(&mut self, command: &Command) -> Outcome {
         let worker = &self.sim_workers[&command.instance];
         if worker.stopped.is_some() {
-            return;
+            return Outcome::Unreachable;
+        }
+        if worker.displaced {
+            return Outcome::Misdirected;
         }
         match &command.order {
             Order::Join {
@@ -351,7 +476,7 @@
                 fence,
                 model,
                 members,
-            } => self.join(&command.instance, group, *fence, model, members),
+            } => return self.join(&command.instance, group, *fence, model, members),
             Order::Open { group, fence } => self.open(&command.instance, group, *fence),
             Order::Close { group, fence, .. } => {
                 if let Some(member) = self.member(&command.instance, group, *fence)
@@ -366,14 +491,27 @@
                 }
             }
             Order::Stage { model } => {
-                let due = self.now + self.engine.model(model).unwrap().load;
-                let worker = self.sim_workers.get_mut(&command.instance).unwrap();
-                if worker.staging.is_none() {
-                    worker.staging = Some((model.clone(), due));
+                if worker.load.as_ref().is_some_and(|l| l.model != *model) {
+                    return Outcome::Unfitting;
+                }
+                if self.start_load(&command.instance, model) {
                     self.load_times.push(self.now);
                 }
             }
         }
+        Outcome::Accepted
+    }
+
+    /// Starts to load weights unless the worker loads already; returns whether the load starts.
+    fn start_load(&mut self, id: &instance::Id, model: &model::Name) -> bool {
+        let remaining = self.engine.model(model).unwrap().load;
+        let worker = self.sim_workers.get_mut(id).unwrap();
+        let starts = worker.load.is_none() && !worker.staged.contains(model);
+        if starts {
+            let model = model.clone();
+            worker.load = Some(Load { model, remaining });
+        }
+        starts
     }
 
     fn member(
@@ -394,25 +532,28 @@
         fence: group::Fence,
         model: &model::Name,
         members: &[instance::Id],
-    ) {
+    ) -> Outcome {
         let worker = &self.sim_workers[id];
-        if fence < worker.last_fence || self.has_joined(id, group, fence) {
-            return;
+        if fence < worker.last_fence {
+            return Outcome::Fenced;
+        }
+        if self.has_joined(id, group, fence) {
+            return Outcome::Accepted;
         }
         self.check_exclusive(id, group);
-        let spec = self.engine.model(model).unwrap();
+        let warm = self.engine.model(model).unwrap().warm;
         let worker = self.sim_workers.get_mut(id).unwrap();
-        let join_time = if worker.last_model.as_ref() == Some(model) {
-            WARM_JOIN_TIME
-        } else if worker.staged.contains(model) {
-            STAGED_JOIN_TIME
-        } else {
-            spec.load
-        };
         worker.last_fence = fence;
-        if !worker.staged.contains(model) {
-            worker.staged = vec![model.clone()];
+        let is_warm = worker.last_model.as_ref() == Some(model);
+        let join_time = if is_warm { WARM_JOIN_TIME } else { warm };
+        let must_load = !is_warm && !worker.staged.contains(model);
+        if must_load {
+            // A load of other weights is given up.
+            let same = worker.load.as_ref().is_some_and(|l| l.model == *model);
+            worker.load = worker.load.take().filter(|_| same);
+            let _ = self.start_load(id, model);
         }
+        let worker = self.sim_workers.get_mut(id).unwrap();
         worker.member = Some(Member {
             membership: Membership {
                 group: group.clone(),
@@ -424,6 +565,7 @@
             model: model.clone(),
             ready_at: self.now + join_time,
         });
+        Outcome::Accepted
     }
 
     fn has_joined(&mut self, id: &instance::Id, group: &group::Id, fence: group::Fence) -> bool {
