fix: tie the progress of an attempt to that attempt, never replace an unreadable claim

A claimant's report on a queried attempt was applied to whatever row was read next. If another entry claimed the call in between, "abandoned" of the first attempt released the claim of the second one, and the call could run twice. The report now names its attempt and counts only for the row of that attempt. A row that cannot be decoded was treated as absent and replaced; the call is now refused as one that may have run.

Both cases have a test at the state machine; the first fails there without the filter in `decide`. Not shown end to end with processes.

--- a/crates/cyclamen-claim/src/acquisition.rs
+++ b/crates/cyclamen-claim/src/acquisition.rs
@@ -2,7 +2,7 @@
 
 use cyclamen_cache::Revision;
 
-use crate::attempts::Progress;
+use crate::attempts::Report;
 use crate::decision::{Decision, decide};
 use crate::record::{Answer, Attempt, Claimant, Record};
 
@@ -46,14 +46,16 @@
     Row(Revision, Option<Record>),
     /// The row could not be read.
     ReadFailed,
+    /// The row was read, but its value cannot be decoded.
+    Undecodable,
     /// The write took effect at this revision.
     Committed(Revision),
     /// The write was refused or its response was lost.
     Unconfirmed,
     /// The claimant was queried for the progress of its attempt.
     ///
-    /// A claimant that does not respond may have sent the call: [`Progress::Sent`].
-    Progress(Progress),
+    /// A claimant that does not respond may have sent the call: [`Progress::Sent`](crate::Progress::Sent).
+    Progress(Report),
 }
 
 /// A state machine that acquires the claim for a call.
@@ -63,7 +65,7 @@
 pub struct Acquisition {
     record: Record,
     reads: u32,
-    progress: Option<Progress>,
+    report: Option<Report>,
 }
 
 impl Acquisition {
@@ -72,7 +74,7 @@
         Self {
             record,
             reads: 0,
-            progress: None,
+            report: None,
         }
     }
 
@@ -86,10 +88,12 @@
         match event {
             Event::Row(revision, row) => self.decide(revision, row.as_ref()),
             Event::ReadFailed => Action::Refuse(Refusal::StoreDown),
+            // A call may have been claimed by the row, or have been sent.
+            Event::Undecodable => Action::Refuse(Refusal::Unknown),
             Event::Committed(revision) => Action::Send(revision),
             Event::Unconfirmed => self.read(),
-            Event::Progress(progress) => {
-                self.progress = Some(progress);
+            Event::Progress(report) => {
+                self.report = Some(report);
                 self.read()
             }
         }
@@ -105,8 +109,8 @@
     }
 
     fn decide(&mut self, revision: Revision, row: Option<&Record>) -> Action {
-        let progress = self.progress.take();
-        match decide(row, self.record.attempt, &self.record.digest, progress) {
+        let report = self.report.take();
+        match decide(row, self.record.attempt, &self.record.digest, report) {
             Decision::Claim => Action::Write(revision, self.record.clone()),
             Decision::Held => Action::Send(revision),
             Decision::Replay(answer) => Action::Replay(answer),
--- a/crates/cyclamen-claim/src/attempts.rs
+++ b/crates/cyclamen-claim/src/attempts.rs
@@ -20,6 +20,15 @@
     Unknown,
 }
 
+/// A claimant's response to a query for the progress of one of its attempts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// Its progress.
+    pub progress: Progress,
+}
+
 /// The progress of an entry's own attempts, kept in memory.
 #[derive(Debug)]
 pub struct Attempts {
--- a/crates/cyclamen-claim/src/decision.rs
+++ b/crates/cyclamen-claim/src/decision.rs
@@ -1,6 +1,6 @@
 //! The decision on a call, given the row of its key.
 
-use crate::attempts::Progress;
+use crate::attempts::{Progress, Report};
 use crate::record::{Answer, Attempt, Claimant, Digest, Record, State};
 
 /// The decision on a call.
@@ -25,13 +25,13 @@
 
 /// Decides on a call, given the row of its key as last read.
 ///
-/// `progress` is the progress of the attempt in that row, if the claimant was
-/// queried and responded.
+/// `report` is the last response of a claimant. It counts only if it concerns the attempt in
+/// that row: another entry may have claimed the call since the query.
 pub(crate) fn decide(
     row: Option<&Record>,
     attempt: Attempt,
     digest: &Digest,
-    progress: Option<Progress>,
+    report: Option<Report>,
 ) -> Decision {
     let Some(row) = row else {
         return Decision::Claim;
@@ -42,7 +42,8 @@
     if row.attempt == attempt {
         return Decision::Held;
     }
-    match (&row.state, progress) {
+    let report = report.filter(|report| report.attempt == row.attempt);
+    match (&row.state, report.map(|report| report.progress)) {
         (State::Done(answer), _) => Decision::Replay(answer.clone()),
         (State::NotRun, _) | (State::Claimed, Some(Progress::Abandoned)) => Decision::Claim,
         (State::Unknown, _) | (State::Claimed, Some(Progress::Unknown)) => Decision::Unknown,
--- a/crates/cyclamen-claim/src/lib.rs
+++ b/crates/cyclamen-claim/src/lib.rs
@@ -13,5 +13,5 @@
 mod record;
 
 pub use acquisition::{Acquisition, Action, Event, Refusal};
-pub use attempts::{Attempts, Progress};
+pub use attempts::{Attempts, Progress, Report};
 pub use record::{Answer, Attempt, Claimant, Digest, Record, State};
--- a/crates/cyclamen-claim/tests/at_most_once.rs
+++ b/crates/cyclamen-claim/tests/at_most_once.rs
@@ -12,7 +12,7 @@
 use cyclamen_cache::Revision;
 use cyclamen_claim::{
     Acquisition, Action, Answer, Attempt, Attempts, Claimant, Digest, Event as Input, Progress,
-    Record, Refusal, State,
+    Record, Refusal, Report, State,
 };
 use cyclamen_types::{Time, entry};
 use proptest::prelude::*;
@@ -179,9 +179,10 @@
                     confirmed.map_or(Input::Unconfirmed, |r| Input::Committed(Revision(r)))
                 }
             },
-            Action::Query(claimant, attempt) => {
-                Input::Progress(self.query(&claimant, attempt, delivery))
-            }
+            Action::Query(claimant, attempt) => Input::Progress(Report {
+                attempt,
+                progress: self.query(&claimant, attempt, delivery),
+            }),
             Action::Send(revision) => {
                 self.calls[at].held = Some(revision.0);
                 return;
@@ -364,3 +365,43 @@
     #[test]
     fn a_call_runs_at_most_once(sequential 1..80 => AtMostOnce);
 }
+
+fn claimed(entry: &str, attempt: u64) -> Record {
+    Record {
+        claimant: Claimant {
+            entry: entry.parse().unwrap(),
+            incarnation: entry::Incarnation(1),
+        },
+        attempt: Attempt(attempt),
+        digest: Digest("same".into()),
+        state: State::Claimed,
+    }
+}
+
+/// The first claimant abandons its attempt, and another entry claims the call before the row is
+/// read again.
+#[test]
+fn a_report_does_not_concern_a_later_attempt() {
+    let (first, second) = (claimed("e1", 1), claimed("e2", 2));
+    let mut acquisition = Acquisition::new(claimed("e3", 3));
+    assert_eq!(acquisition.begin(), Action::Read);
+    let row = Input::Row(Revision(10), Some(first.clone()));
+    let query = Action::Query(first.claimant, first.attempt);
+    assert_eq!(acquisition.step(row), query);
+    let report = Input::Progress(Report {
+        attempt: first.attempt,
+        progress: Progress::Abandoned,
+    });
+    assert_eq!(acquisition.step(report), Action::Read);
+    let row = Input::Row(Revision(11), Some(second.clone()));
+    let query = Action::Query(second.claimant, second.attempt);
+    assert_eq!(acquisition.step(row), query);
+}
+
+#[test]
+fn a_row_that_cannot_be_decoded_is_never_replaced() {
+    let mut acquisition = Acquisition::new(claimed("e1", 1));
+    assert_eq!(acquisition.begin(), Action::Read);
+    let refused = Action::Refuse(Refusal::Unknown);
+    assert_eq!(acquisition.step(Input::Undecodable), refused);
+}
--- a/crates/cyclamen-entry/src/caller/claim.rs
+++ b/crates/cyclamen-entry/src/caller/claim.rs
@@ -5,7 +5,7 @@
 
 use cyclamen_cache::{Key, Revision};
 use cyclamen_claim::{
-    Acquisition, Action, Answer, Attempt, Claimant, Digest, Event, Progress, Record, State,
+    Acquisition, Action, Answer, Attempt, Claimant, Digest, Event, Progress, Record, Report, State,
 };
 use cyclamen_domain::Owner;
 use cyclamen_platform::{Outcome, Transaction, keys};
@@ -116,7 +116,10 @@
         let event = match action {
             Action::Read => read(node, &key).await,
             Action::Write(revision, record) => write(node, &key, revision, &record).await,
-            Action::Query(claimant, other) => Event::Progress(query(node, claimant, other).await),
+            Action::Query(claimant, other) => Event::Progress(Report {
+                attempt: other,
+                progress: query(node, claimant, other).await,
+            }),
             Action::Send(revision) => {
                 return Ok(Claimed::Held(Held {
                     key,
@@ -141,14 +144,16 @@
     };
     let row = rows.into_iter().find(|row| row.value.is_some());
     let revision = row.as_ref().map_or(Revision::ABSENT, |row| row.revision);
-    let record = row.and_then(|row| {
-        let decoded = serde_json::from_str(row.value.as_deref()?);
-        let decoded = decoded.inspect_err(|error| {
+    let Some(value) = row.and_then(|row| row.value) else {
+        return Event::Row(revision, None);
+    };
+    match serde_json::from_str(&value) {
+        Ok(record) => Event::Row(revision, Some(record)),
+        Err(error) => {
             log::warn!("event=claim_not_understood key={key} reason=\"{error}\"");
-        });
-        decoded.ok()
-    });
-    Event::Row(revision, record)
+            Event::Undecodable
+        }
+    }
 }
 
 async fn write(node: &Node, key: &Key, revision: Revision, record: &Record) -> Event {
