fix: grant rates of teams above a thousand calls per second

The token bucket was refilled in whole milliseconds and dropped the rest at each call. It now counts in nanoseconds. The test calls 5,000 times a second for four seconds.

--- a/crates/cyclamen-route/src/limit.rs
+++ b/crates/cyclamen-route/src/limit.rs
@@ -55,13 +55,14 @@
 
 #[derive(Debug)]
 struct Usage {
-    /// Level of the token bucket, in thousandths of a request.
-    millitokens: u64,
+    /// Level of the token bucket, in billionths of a request.
+    nanotokens: u64,
     refilled_at: Time,
     in_progress: u32,
 }
 
-const THOUSANDTHS: u64 = 1_000;
+/// Billionths in a whole; a rate per second is the same number of billionths per nanosecond.
+const BILLIONTHS: u64 = 1_000_000_000;
 
 impl Limiter {
     /// Creates a limiter without any quota. `convergence_delay` is how long an entry that left
@@ -114,7 +115,7 @@
         let rate = u64::from(self.quota(contract.rate));
         let max_in_progress = self.quota(contract.concurrency);
         let usage = self.teams.entry(team.clone()).or_insert(Usage {
-            millitokens: rate * THOUSANDTHS,
+            nanotokens: rate * BILLIONTHS,
             refilled_at: now,
             in_progress: 0,
         });
@@ -122,18 +123,17 @@
         if usage.in_progress >= max_in_progress {
             return Err(Refusal::Concurrency);
         }
-        if usage.millitokens < THOUSANDTHS {
-            let missing = THOUSANDTHS - usage.millitokens;
-            // Millitokens divided by tokens per second are milliseconds. Without a quota, a
-            // retry is allowed after 1000 ms.
-            let wait_ms = if rate == 0 {
-                THOUSANDTHS
+        if usage.nanotokens < BILLIONTHS {
+            let missing = BILLIONTHS - usage.nanotokens;
+            // Without a quota, a retry is allowed after one second.
+            let wait_ns = if rate == 0 {
+                BILLIONTHS
             } else {
                 missing.div_ceil(rate)
             };
-            return Err(Refusal::Rate(Duration::from_millis(wait_ms)));
+            return Err(Refusal::Rate(Duration::from_nanos(wait_ns)));
         }
-        usage.millitokens -= THOUSANDTHS;
+        usage.nanotokens -= BILLIONTHS;
         usage.in_progress += 1;
         Ok(())
     }
@@ -148,11 +148,11 @@
 
 impl Usage {
     fn refill(&mut self, now: Time, rate: u64) {
-        let millis = u64::try_from(now.since(self.refilled_at).as_millis()).unwrap_or(u64::MAX);
-        let capacity = rate * THOUSANDTHS;
-        self.millitokens = self
-            .millitokens
-            .saturating_add(millis.saturating_mul(rate))
+        let nanos = u64::try_from(now.since(self.refilled_at).as_nanos()).unwrap_or(u64::MAX);
+        let capacity = rate * BILLIONTHS;
+        self.nanotokens = self
+            .nanotokens
+            .saturating_add(nanos.saturating_mul(rate))
             .min(capacity);
         self.refilled_at = now;
     }
--- a/crates/cyclamen-route/tests/decisions.rs
+++ b/crates/cyclamen-route/tests/decisions.rs
@@ -154,6 +154,28 @@
     assert_eq!(limiter.start(at(2), &team, &contract), Ok(()));
 }
 
+#[test]
+fn a_rate_above_a_thousand_per_second_is_granted_in_full() {
+    const RATE: u32 = 5_000;
+    let mut limiter = Limiter::new(Duration::ZERO);
+    let position = Position {
+        rank: 0,
+        entries: 1,
+    };
+    limiter.set_position(at(1), position);
+    let contract = Contract {
+        rate: RATE,
+        concurrency: 1,
+        share: 1,
+    };
+    let team = "vets".parse().unwrap();
+    for call in 0..4 * RATE {
+        let now = at(1) + Duration::from_secs(1) / RATE * call;
+        assert_eq!(limiter.start(now, &team, &contract), Ok(()), "call {call}");
+        limiter.end(&team);
+    }
+}
+
 fn strike(fingerprint: &Fingerprint, domain: &str, group: &str) -> Strike {
     Strike {
         fingerprint: fingerprint.clone(),
