fix: do not turn a value that cannot be encoded into a deletion

`Transaction::put` wrote no value if the encoding failed, which deletes the row. The transaction is now refused by the client, without a call.

--- a/crates/cyclamen-platform/src/client.rs
+++ b/crates/cyclamen-platform/src/client.rs
@@ -44,6 +44,9 @@
 
     /// Commits a transaction.
     pub async fn transact(&self, transaction: &Transaction) -> Result<Outcome, Error> {
+        if transaction.not_encoded.is_some() {
+            return Err(Error::NotEncoded);
+        }
         let url = self.url("/table/transact");
         Ok(self
             .http
--- a/crates/cyclamen-platform/src/error.rs
+++ b/crates/cyclamen-platform/src/error.rs
@@ -5,6 +5,8 @@
 /// The reason why a call to the platform returned no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Error {
+    /// The call was not made, because a value to write could not be encoded.
+    NotEncoded,
     /// The call did not reach the service.
     Unreachable,
     /// No valid response was received; the call may have taken effect.
@@ -14,6 +16,7 @@
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            Self::NotEncoded => "a value cannot be encoded",
             Self::Unreachable => "the platform is unreachable",
             Self::Lost => "no valid response from the platform",
         })
--- a/crates/cyclamen-platform/src/transaction.rs
+++ b/crates/cyclamen-platform/src/transaction.rs
@@ -30,6 +30,9 @@
     pub conditions: Vec<Condition>,
     /// The writes.
     pub writes: Vec<Write>,
+    /// A row whose value could not be encoded, because of which the transaction must not be sent.
+    #[serde(skip)]
+    pub(crate) not_encoded: Option<Key>,
 }
 
 impl Transaction {
@@ -40,9 +43,20 @@
     }
 
     /// Adds a write of a value.
+    ///
+    /// If the value cannot be encoded, [`Client::transact`](crate::Client::transact) does not send
+    /// the transaction.
     pub fn put(mut self, key: Key, value: &impl Serialize) -> Self {
-        let value = serde_json::to_string(value).ok().map(Arc::from);
-        self.writes.push(Write { key, value });
+        match serde_json::to_string(value) {
+            Ok(value) => self.writes.push(Write {
+                key,
+                value: Some(value.into()),
+            }),
+            Err(error) => {
+                log::error!("event=value_not_encoded key={key} reason=\"{error}\"");
+                self.not_encoded = Some(key);
+            }
+        }
         self
     }
 
