fix: write queued log lines before the process exits

The writer thread ended with the process while lines were queued; a gateway lost its line `event=stopped` once. SHOW_LOGS of the processes test showed no logs of servers, which write them to the standard output.

--- a/crates/cyclamenpath/src/lib.rs
+++ b/crates/cyclamenpath/src/lib.rs
@@ -15,7 +15,13 @@
 pub fn run() -> eyre::Result<()> {
     let arguments = Arguments::parse();
     logging::init(arguments.log, arguments.command.is_server())?;
-    match arguments.command {
+    let result = execute(arguments.command);
+    log::logger().flush();
+    result
+}
+
+fn execute(command: Command) -> eyre::Result<()> {
+    match command {
         Command::Entry { settings } => command::entry::run(&settings),
         Command::Gateway { settings } => command::gateway::run(&settings),
         Command::Check { settings, gateway } => command::check::run(&settings, gateway),
--- a/crates/cyclamenpath/tests/output.rs
+++ b/crates/cyclamenpath/tests/output.rs
@@ -83,3 +83,42 @@
         *written.lock().unwrap() == b"level=info event=a\n"
     });
 }
+
+/// A sink that takes some time for each write.
+struct SlowSink(Arc<Mutex<Vec<u8>>>);
+
+impl Write for SlowSink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        std::thread::sleep(Duration::from_millis(20));
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_flush_waits_until_queued_lines_are_written() {
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let mut output = Output::start(SlowSink(written.clone())).unwrap();
+    for n in 0..5 {
+        writeln!(output, "event=test n={n}").unwrap();
+    }
+    output.flush().unwrap();
+    let text = String::from_utf8(written.lock().unwrap().clone()).unwrap();
+    assert!(text.ends_with("event=test n=4\n"), "{text}");
+}
+
+#[test]
+fn a_flush_to_a_blocked_sink_ends() {
+    let (sink, _opener, _written) = blocked_sink();
+    let mut output = Output::start(sink).unwrap();
+    for n in 0..20_000 {
+        writeln!(output, "event=test n={n}").unwrap();
+    }
+    let start = Instant::now();
+    assert!(output.flush().is_err());
+    assert!(start.elapsed() < Duration::from_secs(5));
+}
--- a/dev/stand-in/tests/site/mod.rs
+++ b/dev/stand-in/tests/site/mod.rs
@@ -29,12 +29,8 @@
     fn start(binary: &Path, arguments: &[&str]) -> Self {
         let child = Command::new(binary)
             .args(arguments)
-            .stdout(Stdio::null())
-            .stderr(if std::env::var_os("SHOW_LOGS").is_some() {
-                Stdio::inherit()
-            } else {
-                Stdio::null()
-            })
+            .stdout(logs())
+            .stderr(logs())
             .spawn()
             .unwrap();
         Self { child }
@@ -62,6 +58,15 @@
     }
 }
 
+/// Returns where processes log to: nowhere, unless `SHOW_LOGS` is set.
+fn logs() -> Stdio {
+    if std::env::var_os("SHOW_LOGS").is_some() {
+        Stdio::inherit()
+    } else {
+        Stdio::null()
+    }
+}
+
 pub struct Entry {
     pub process: Process,
     pub caller_address: SocketAddr,
