fix: bound the state of workers and entries that are gone

Deleted rows, loads of other entries, observed leases and reports of unlisted workers were kept for the life of a process. Deleted rows are forgotten above 2,048; a delta from before them is a gap, so that an entry that lacks them reads the store, and gossip does not bring such rows back. Loads expire with their TTL, leases and reports with the lists. Tests with ten thousand short-lived rows, entries and workers show the size come back.

--- a/crates/cyclamen-cache/src/cache.rs
+++ b/crates/cyclamen-cache/src/cache.rs
@@ -6,11 +6,21 @@
 
 use crate::types::{Delta, Key, Revision, Row};
 
+/// The number of deleted rows at which the older half of them is forgotten.
+const MAX_DELETED_ROWS: usize = 2_048;
+
 /// A copy of the shared rows, complete up to one revision.
+///
+/// Deleted rows are kept for a while, so that older versions of them are recognised and other
+/// entries learn of the deletions.
 #[derive(Debug, Clone, Default)]
 pub struct Cache {
     as_of: Revision,
     rows: BTreeMap<Key, Row>,
+    /// The number of deleted rows.
+    deleted: usize,
+    /// The revision up to which deleted rows are forgotten.
+    forgotten_up_to: Revision,
 }
 
 /// The result of a merge.
@@ -60,12 +70,42 @@
             return None;
         }
         let key = row.key.clone();
-        self.rows.insert(key.clone(), row);
+        let is_deleted = row.value.is_none();
+        let old = self.rows.insert(key.clone(), row);
+        let was_deleted = old.is_some_and(|old| old.value.is_none());
+        self.deleted += usize::from(is_deleted);
+        self.deleted -= usize::from(was_deleted);
+        if self.deleted >= MAX_DELETED_ROWS {
+            self.forget_deleted();
+        }
         Some(key)
     }
 
+    /// Forgets the older half of the deleted rows.
+    fn forget_deleted(&mut self) {
+        let deleted = self.rows.values().filter(|row| row.value.is_none());
+        let mut revisions: Vec<_> = deleted.map(|row| row.revision).collect();
+        revisions.sort_unstable();
+        let Some(up_to) = revisions.get(revisions.len() / 2).copied() else {
+            return;
+        };
+        self.rows
+            .retain(|_, row| row.value.is_some() || row.revision > up_to);
+        self.deleted = revisions.iter().filter(|r| **r > up_to).count();
+        self.forgotten_up_to = up_to;
+    }
+
+    /// Returns whether a row that another entry sent may be an old version of a deleted row that
+    /// is forgotten.
+    pub fn may_be_forgotten(&self, row: &Row) -> bool {
+        row.revision <= self.forgotten_up_to && !self.rows.contains_key(&row.key)
+    }
+
     /// Returns all rows changed after `since`, to send to another entry.
+    ///
+    /// If deletions after `since` are forgotten, the delta starts later.
     pub fn changes_since(&self, since: Revision) -> Delta {
+        let since = since.max(self.forgotten_up_to);
         let newer = self.rows.values().filter(|row| row.revision > since);
         Delta {
             since,
@@ -74,6 +114,11 @@
         }
     }
 
+    /// Returns the number of rows that are held, including deleted ones.
+    pub fn row_count(&self) -> usize {
+        self.rows.len()
+    }
+
     /// Returns the row of a key, including deleted rows.
     pub fn row(&self, key: &Key) -> Option<&Row> {
         self.rows.get(key)
--- a/crates/cyclamen-cache/tests/spread.rs
+++ b/crates/cyclamen-cache/tests/spread.rs
@@ -230,3 +230,52 @@
     #[test]
     fn rows_spread_and_never_revert(sequential 1..120 => Spread);
 }
+
+/// Writes and deletes many rows that live only for a short time.
+fn churn(cache: &mut Cache, first_revision: u64, rows: u64) {
+    for n in 0..rows {
+        let revision = first_revision + 2 * n;
+        let row = |revision, value: Option<&str>| Row {
+            key: Key::new("shared/", format!("short-lived-{n}")),
+            revision: Revision(revision),
+            value: value.map(Into::into),
+        };
+        cache.record_write(row(revision, Some("{}")));
+        cache.record_write(row(revision + 1, None));
+    }
+}
+
+#[test]
+fn deleted_rows_are_forgotten() {
+    let mut cache = Cache::default();
+    churn(&mut cache, 1, 10_000);
+    assert!(cache.row_count() <= 2_048, "{}", cache.row_count());
+}
+
+#[test]
+fn an_entry_that_lacks_a_forgotten_deletion_reads_the_store() {
+    let mut cache = Cache::default();
+    churn(&mut cache, 1, 10_000);
+    let empty = Delta {
+        since: Revision(0),
+        as_of: Revision(20_001),
+        rows: Vec::new(),
+    };
+    assert_eq!(cache.merge(empty), Outcome::Merged(Vec::new()));
+    let mut behind = Cache::default();
+    assert_eq!(behind.merge(cache.changes_since(Revision(5))), Outcome::Gap);
+}
+
+#[test]
+fn an_old_version_of_a_forgotten_row_is_recognised() {
+    let mut cache = Cache::default();
+    churn(&mut cache, 1, 10_000);
+    let row = |n: u64, revision| Row {
+        key: Key::new("shared/", format!("short-lived-{n}")),
+        revision: Revision(revision),
+        value: Some("{}".into()),
+    };
+    assert!(cache.may_be_forgotten(&row(0, 1)));
+    assert!(!cache.may_be_forgotten(&row(9_999, 19_999)));
+    assert!(!cache.may_be_forgotten(&row(20_000, 30_000)));
+}
--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -190,6 +190,8 @@
             } = load;
             ((load.instance, load.fence), InProgress { running, backlog })
         });
+        let ttl = self.options.peer_load_ttl;
+        self.peers.retain(|_, (at, _)| now.since(*at) < ttl);
         self.peers
             .insert(peer.to_string(), (now, in_progress.collect()));
     }
@@ -214,6 +216,11 @@
         self.workers.values().map(|worker| &worker.target)
     }
 
+    /// Returns the number of other entries whose loads are held.
+    pub fn peer_count(&self) -> usize {
+        self.peers.len()
+    }
+
     fn peers_in_progress(&self, now: Time) -> BTreeMap<WorkerKey, InProgress> {
         let ttl = self.options.peer_load_ttl;
         let mut sums: BTreeMap<WorkerKey, InProgress> = BTreeMap::new();
--- a/crates/cyclamen-dispatch/tests/dispatch.rs
+++ b/crates/cyclamen-dispatch/tests/dispatch.rs
@@ -375,3 +375,12 @@
     a_zone_without_domains_is_one_cell: 25, 0 => 25;
     a_zone_of_the_expected_size: 33, 69 => 7;
 }
+
+#[test]
+fn loads_of_entries_that_are_gone_are_forgotten() {
+    let mut dispatcher = dispatcher([head("w1", "a")]);
+    for n in 0..10_000 {
+        dispatcher.record_peer_loads(at(100 * n), &format!("entry-{n}"), []);
+    }
+    assert!(dispatcher.peer_count() < 100, "{}", dispatcher.peer_count());
+}
--- a/crates/cyclamen-domain/src/domain.rs
+++ b/crates/cyclamen-domain/src/domain.rs
@@ -104,6 +104,14 @@
     /// Replaces the platform's list of this domain's instances.
     pub fn set_listings(&mut self, listings: impl IntoIterator<Item = Listing>) {
         self.monitor.set_listings(listings);
+        let groups = self.row.groups.iter();
+        let members = groups.flat_map(|group| group.members.iter().map(|m| &m.instance));
+        self.monitor.forget_unlisted(&members.collect());
+    }
+
+    /// Returns the number of instances of which any state is held.
+    pub fn known_instances(&self) -> usize {
+        self.monitor.known_instances()
     }
 
     /// Returns the instances to probe.
--- a/crates/cyclamen-domain/src/monitor.rs
+++ b/crates/cyclamen-domain/src/monitor.rs
@@ -1,6 +1,6 @@
 //! Listings and reports of the domain's instances, and the health derived from them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cyclamen_tables::Pools;
 use cyclamen_tables::pools::Kind;
@@ -58,6 +58,21 @@
         self.listings = pairs.collect();
     }
 
+    /// Forgets the instances that are neither listed nor members of a group.
+    pub(crate) fn forget_unlisted(&mut self, members: &BTreeSet<&instance::Id>) {
+        let listings = &self.listings;
+        let is_known = |id: &instance::Id| listings.contains_key(id) || members.contains(id);
+        self.observations.retain(|id, _| is_known(id));
+        self.invalid_before.retain(|id, _| is_known(id));
+    }
+
+    /// Returns the number of instances of which any state is held.
+    pub(crate) fn known_instances(&self) -> usize {
+        let unlisted = self.observations.keys().chain(self.invalid_before.keys());
+        let known: BTreeSet<_> = unlisted.chain(self.listings.keys()).collect();
+        known.len()
+    }
+
     /// Records a report, unless one to a later probe was recorded before.
     pub(crate) fn record_report(
         &mut self,
--- a/crates/cyclamen-domain/tests/domain/found.rs
+++ b/crates/cyclamen-domain/tests/domain/found.rs
@@ -2,7 +2,8 @@
 
 use crate::simulation::{LIMITS, Simulation, index};
 use cyclamen_domain::report::Assignment;
-use cyclamen_domain::{Options, Order};
+use cyclamen_domain::{Options, Order, Report};
+use cyclamen_types::{Time, instance};
 
 fn converged() -> Simulation {
     let mut sim = Simulation::new(Options::default(), true);
@@ -97,3 +98,26 @@
     sim.run_rounds(1, 1);
     assert!(fill(&mut sim, 1) <= LIMITS.cold);
 }
+
+#[test]
+fn workers_that_are_gone_are_forgotten() {
+    let mut domain = converged().entries.remove(0).domain;
+    let before = domain.known_instances();
+    let listings: Vec<_> = domain.listings().cloned().collect();
+    for n in 0..10_000 {
+        let mut short_lived = listings[0].clone();
+        short_lived.instance = format!("short-lived-{n}").parse().unwrap();
+        let id = short_lived.instance.clone();
+        domain.set_listings(listings.iter().cloned().chain([short_lived]));
+        let report = Report {
+            incarnation: instance::Incarnation(n),
+            assignment: None,
+            ready: true,
+            cold: false,
+            running: 0,
+        };
+        domain.record_report(Time::from_millis(n), &id, report);
+    }
+    domain.set_listings(listings);
+    assert_eq!(domain.known_instances(), before);
+}
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -180,7 +180,9 @@
     for strike in received.strikes {
         state.strikes.record(now, strike);
     }
-    let rows: Vec<Row> = received.delta.rows.into_iter().filter_map(row).collect();
+    let rows = received.delta.rows.into_iter();
+    let rows = rows.filter(|row| !state.rows.may_be_forgotten(row));
+    let rows: Vec<Row> = rows.filter_map(row).collect();
     let has_rows = !rows.is_empty();
     let operators = rows.iter().filter(|row| row.table == Table::Operators);
     let newest = operators.map(|row| row.revision).max();
--- a/crates/cyclamen-gateway/src/tasks/ownership.rs
+++ b/crates/cyclamen-gateway/src/tasks/ownership.rs
@@ -174,6 +174,7 @@
 
 fn observe_leases(node: &Node, now: Time, entries: &Snapshot) {
     let mut state = node.state();
+    let mut listed = BTreeSet::new();
     for row in &entries.rows {
         let entry = row.key.parse::<entry::Name>();
         let content = lease::parse(row.value.as_deref());
@@ -184,8 +185,11 @@
             };
             let revision = row.revision.0;
             state.ownership.observer.observe(now, &owner, revision);
+            listed.insert(owner);
         }
     }
+    let observer = &mut state.ownership.observer;
+    observer.retain(|owner| listed.contains(owner));
 }
 
 /// Returns the transaction that makes this entry the owner of a domain, or `None` while the
