fix: keep requests of silent workers, fail responses that are too large

An event shows that the whole group works and ends the suspicion. - A response over 8 MiB was cut and passed on as complete; it fails with 502 now. So does one without end.

Retry budgets of services that are no longer configured are dropped.

--- a/crates/cyclamen-gateway/src/frontend/buffered.rs
+++ b/crates/cyclamen-gateway/src/frontend/buffered.rs
@@ -41,6 +41,8 @@
     Closed,
     /// The request may have run.
     Unknown,
+    /// The response is too large to be read into memory.
+    TooLarge,
     /// The deadline has passed.
     TimedOut,
 }
@@ -98,6 +100,10 @@
                     return Err(Refusal::failed("outcome_unknown"));
                 }
             }
+            Err(Failure::TooLarge) => {
+                request.may_have_run = true;
+                return Err(Refusal::failed("response_too_large"));
+            }
             Err(Failure::TimedOut) => return Err(Refusal::deadline_exceeded()),
         }
     }
@@ -163,7 +169,8 @@
 ) -> Result<Response, Failure> {
     let mut body = Vec::new();
     let reading = async {
-        let mut limited = (&mut response.body).take(MAX_RESPONSE_BYTES);
+        // One byte more than the maximum shows that the response is too large.
+        let mut limited = (&mut response.body).take(MAX_RESPONSE_BYTES + 1);
         limited.read_to_end(&mut body).await
     };
     let timeout = async {
@@ -171,6 +178,7 @@
         Err(io::ErrorKind::TimedOut.into())
     };
     match or(reading, timeout).await {
+        Ok(count) if count as u64 > MAX_RESPONSE_BYTES => Err(Failure::TooLarge),
         Ok(_) => Ok(Response {
             status: response.status,
             headers: cyclamen_relay::end_to_end(&response.headers),
--- a/crates/cyclamen-gateway/src/frontend/stream.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream.rs
@@ -92,8 +92,8 @@
     dispatch: Dispatch,
     response: StreamingResponse,
     events: EventBuffer,
-    /// When bytes were last received; at first, when the response head was received.
-    last_read_at: Time,
+    /// When a complete event was last received; at first, when the response head was received.
+    last_event_at: Time,
     /// Whether any bytes of the body were received.
     started: bool,
 }
@@ -197,7 +197,7 @@
             .request
             .node
             .now()
-            .since(upstream.last_read_at)
+            .since(upstream.last_event_at)
             .as_millis();
         log::info!(
             "event=stream_broken id={id} instance={instance} cause={cause:?} after={:?} silent_ms={silent}",
@@ -227,6 +227,7 @@
         loop {
             let mut bytes = Vec::new();
             while let Some(event) = upstream.events.next_event() {
+                self.record_progress(upstream);
                 let ids = event.id.zip(self.last_event_id);
                 if ids.is_some_and(|(id, last)| id <= last) {
                     continue;
@@ -262,7 +263,6 @@
             };
             match or(reading, interval).await {
                 Some(Ok(count)) => {
-                    upstream.last_read_at = self.request.node.now();
                     if count > 0 && !upstream.started {
                         upstream.started = true;
                         self.request.record_started(&upstream.dispatch);
@@ -278,6 +278,14 @@
         }
     }
 
+    /// Records that a worker has made a complete event, for which it needs its whole group.
+    fn record_progress(&self, upstream: &mut Upstream) {
+        let node = &self.request.node;
+        let now = node.now();
+        upstream.last_event_at = now;
+        node.state().record_progress(now, &upstream.dispatch.target);
+    }
+
     fn log_first_event(&self, upstream: &Upstream) {
         let Dispatch { target, .. } = &upstream.dispatch;
         log::info!(
@@ -286,8 +294,9 @@
             self.request.id,
             target.instance,
             target.model.as_ref().map_or("none", |m| m.as_str()),
-            upstream
-                .last_read_at
+            self.request
+                .node
+                .now()
                 .since(upstream.dispatch.chosen_at)
                 .as_millis(),
             upstream.dispatch.forecast.as_millis(),
@@ -298,14 +307,19 @@
         );
     }
 
-    /// Probes the group of a silent worker; fails if the group has lost a member.
+    /// Probes the group of a silent worker; fails if the group has lost a member and the stream
+    /// may be resumed on another one.
+    ///
+    /// Members that only do not respond to probes in time may still run the request, so one that
+    /// must not be repeated is not given up.
     fn check_silence(&self, upstream: &Upstream) -> Result<(), Interruption> {
         let node = &self.request.node;
-        let silent = node.now().since(upstream.last_read_at);
+        let silent = node.now().since(upstream.last_event_at);
         if silent < millis(node.settings.timing.stall_ms) {
             return Ok(());
         }
-        if upstream.dispatch.target.model.is_some()
+        if self.may_resume()
+            && upstream.dispatch.target.model.is_some()
             && node.state().has_lost_member(&upstream.dispatch.target)
         {
             return Err(Interruption::GroupLost);
--- a/crates/cyclamen-gateway/src/frontend/stream/connect.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/connect.rs
@@ -138,7 +138,7 @@
                     part: Part::End,
                 };
                 self.upstream = Some(Upstream {
-                    last_read_at: self.request.node.now(),
+                    last_event_at: self.request.node.now(),
                     events: EventBuffer::default(),
                     started: false,
                     response,
@@ -164,7 +164,8 @@
         result
     }
 
-    /// Waits for the response head; fails if the worker's group loses a member.
+    /// Waits for the response head; fails if the worker's group loses a member and the request
+    /// may be repeated.
     async fn wait(&self) -> Result<StreamingResponse, Error> {
         let request = &self.relay.request;
         let sending = send(request, self.dispatch, self.relay.last_event_id);
@@ -175,7 +176,8 @@
                 if waited < millis(request.node.settings.timing.stall_ms) {
                     continue;
                 }
-                if request.node.state().has_lost_member(&self.dispatch.target) {
+                let is_lost = request.node.state().has_lost_member(&self.dispatch.target);
+                if is_lost && self.relay.may_resume() {
                     return Err(Error::Closed);
                 }
                 if waited >= first_event_probe_delay(self.dispatch) {
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -128,6 +128,13 @@
             })
     }
 
+    /// Drops the retry budgets of services that are no longer configured.
+    pub(crate) fn retain_retry_budgets(&mut self) {
+        let catalog = &self.catalog;
+        self.retry_budgets
+            .retain(|service, _| catalog.service(service).is_some());
+    }
+
     /// Updates the entries and fabric domains that this entry prefers.
     pub(crate) fn update_cell(&mut self) {
         let same_zone = self.peers.iter().filter(|(_, peer)| peer.same_zone);
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -5,6 +5,7 @@
 
 use cyclamen_cache::{Key, Revision};
 use cyclamen_directory::Instance;
+use cyclamen_dispatch::Target;
 use cyclamen_replica::Start;
 use cyclamen_types::{Time, entry};
 
@@ -163,6 +164,7 @@
                     catalog.version()
                 );
                 self.catalog = Arc::new(catalog);
+                self.retain_retry_budgets();
                 true
             }
             Record::Catalog(_) | Record::Other => false,
@@ -226,6 +228,27 @@
         }
     }
 
+    /// Records that the group that a target heads makes progress on a request: none of its members
+    /// has failed, even if it does not respond to probes in time.
+    pub(crate) fn record_progress(&mut self, now: Time, target: &Target) {
+        let head = self.registry.get(&target.instance);
+        let Some(group) = head.and_then(|head| head.instance.membership.clone()) else {
+            return;
+        };
+        if group.fence != target.fence {
+            return;
+        }
+        let is_member = |start: &&Start| {
+            let worker = self.registry.get(&start.instance);
+            let membership = worker.and_then(|worker| worker.instance.membership.as_ref());
+            membership.is_some_and(|m| m.group == group.group && m.fence == group.fence)
+        };
+        let suspected = self.detector.suspected().filter(is_member);
+        for start in suspected.cloned().collect::<Vec<_>>() {
+            self.restore(now, &start);
+        }
+    }
+
     /// Records which workers another entry suspects; returns the listed workers to probe now.
     pub(crate) fn record_suspicions(
         &mut self,
--- a/crates/cyclamen-replica/src/detector.rs
+++ b/crates/cyclamen-replica/src/detector.rs
@@ -142,6 +142,11 @@
         self.local.contains_key(start) || self.probing.contains_key(start)
     }
 
+    /// Returns all suspected workers.
+    pub fn suspected(&self) -> impl Iterator<Item = &Start> {
+        self.local.keys().chain(self.probing.keys())
+    }
+
     /// Returns whether a worker counts as failed and is to be replaced.
     pub fn is_failed(&self, now: Time, start: &Start) -> bool {
         let Some(suspicion) = self.local.get(start) else {
