fix: end streams that repeat tokens without new ones

The chunk timeout of the own protocol started again with each event, so that an engine which repeated a token now and then kept its stream for ever (the test ran until it was stopped). It now bounds the time until a new chunk is complete.

--- a/crates/cyclamen-endpoint/src/completion.rs
+++ b/crates/cyclamen-endpoint/src/completion.rs
@@ -125,13 +125,17 @@
     }
 
     /// Reads the next chunk, skipping tokens that were already read.
+    ///
+    /// The chunk timeout bounds the time until a new chunk is complete, however many bytes or
+    /// repeated tokens arrive meanwhile.
     pub async fn next(&mut self) -> Result<Chunk, StreamError> {
+        let timeout = idle_timeout(self.chunk_timeout);
+        or(self.read_next(), timeout).await
+    }
+
+    async fn read_next(&mut self) -> Result<Chunk, StreamError> {
         loop {
-            let next_event = or(
-                async { Ok(self.events.next().await) },
-                idle_timeout(self.chunk_timeout),
-            );
-            let event = match next_event.await? {
+            let event = match self.events.next().await {
                 Some(Ok(event)) => event,
                 Some(Err(_)) | None => return Err(StreamError::Closed),
             };
