perf: rank the owners of domains once, build gossip only from rows that are lacking

The ranking is now kept until entries or domains change, and rows are compared before they are copied; a message to an entry that lacks nothing looks at none.

--- a/crates/cyclamen-cache/src/cache.rs
+++ b/crates/cyclamen-cache/src/cache.rs
@@ -106,14 +106,18 @@
     /// If deletions after `since` are forgotten, the delta starts later.
     pub fn changes_since(&self, since: Revision) -> Delta {
         let since = since.max(self.forgotten_up_to);
-        let newer = self.rows.values().filter(|row| row.revision > since);
         Delta {
             since,
             as_of: self.as_of,
-            rows: newer.cloned().collect(),
+            rows: self.rows_since(since).cloned().collect(),
         }
     }
 
+    /// Returns all rows changed after `since`.
+    pub fn rows_since(&self, since: Revision) -> impl Iterator<Item = &Row> {
+        self.rows.values().filter(move |row| row.revision > since)
+    }
+
     /// Returns the number of rows that are held, including deleted ones.
     pub fn row_count(&self) -> usize {
         self.rows.len()
--- a/crates/cyclamen-gateway/src/node/ownership.rs
+++ b/crates/cyclamen-gateway/src/node/ownership.rs
@@ -6,7 +6,8 @@
 use cyclamen_domain::Owner;
 use cyclamen_lease::Observer;
 use cyclamen_replica::Planner;
-use cyclamen_types::{Time, domain};
+use cyclamen_route::rendezvous::Ranking;
+use cyclamen_types::{Time, domain, entry};
 
 /// The stored row of a fabric domain, which names its owner.
 #[derive(Debug, Clone)]
@@ -29,6 +30,11 @@
     pub(crate) renewed_at: Option<Time>,
     /// When the rows of entries and domains were last read.
     pub(crate) read_at: Option<Time>,
+    /// The candidates for the ownership of each domain in order of rank; the first live one
+    /// takes it over.
+    ///
+    /// Candidates gossip with each other, so that each can detect when a higher-ranked one fails.
+    pub(crate) candidates: Ranking<domain::Name, entry::Name>,
 }
 
 impl Ownership {
@@ -40,6 +46,7 @@
             needs_lease: false,
             renewed_at: None,
             read_at: None,
+            candidates: Ranking::default(),
         }
     }
 }
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -216,9 +216,12 @@
     }
     let propagated = state.propagated_revision(now, Table::Instances);
     let lags = peer.operators_as_of < state.propagated_revision(now, Table::Operators);
+    if !lags && peer.as_of >= propagated {
+        return message_without_rows(state, now, Some(peer));
+    }
     let prefix = |table: Table| format!("{}/", table.as_str());
     let (operators, listed) = (prefix(Table::Operators), prefix(Table::Instances));
-    let lacks = |row: &cyclamen_cache::Row| {
+    let lacks = |row: &&cyclamen_cache::Row| {
         let known = if row.key.0.starts_with(&operators) {
             !lags || row.revision <= peer.operators_as_of
         } else {
@@ -229,15 +232,16 @@
         !known
     };
     let oldest = peer.as_of.min(peer.operators_as_of);
-    let mut delta = state.rows.changes_since(oldest);
-    delta.rows.retain(lacks);
     let is_listed = |row: &cyclamen_cache::Row| row.key.0.starts_with(&listed);
-    delta
-        .rows
-        .sort_unstable_by_key(|row| (is_listed(row), row.revision));
-    delta.rows.truncate(MAX_ROWS);
+    let mut rows: Vec<_> = state.rows.rows_since(oldest).filter(lacks).collect();
+    rows.sort_unstable_by_key(|row| (is_listed(row), row.revision));
+    rows.truncate(MAX_ROWS);
     Gossip {
-        delta,
+        delta: Delta {
+            since: oldest,
+            as_of: state.rows.as_of(),
+            rows: rows.into_iter().cloned().collect(),
+        },
         ..message_without_rows(state, now, Some(peer))
     }
 }
--- a/crates/cyclamen-gateway/src/tasks/ownership.rs
+++ b/crates/cyclamen-gateway/src/tasks/ownership.rs
@@ -7,7 +7,6 @@
 use cyclamen_cache::Revision;
 use cyclamen_domain::Owner;
 use cyclamen_replica::Planner;
-use cyclamen_route::rendezvous;
 use cyclamen_types::{Time, domain, entry, group};
 use serde::{Deserialize, Serialize};
 
@@ -65,6 +64,7 @@
         return None;
     }
     let silence = millis(node.settings.timing.peer_silence_ms);
+    update_candidates(&mut state);
     let names = domains_to_take_over(&state, now, silence);
     state.ownership.needs_lease = !names.is_empty();
     // Without a lease the rows are read only once, to discover the other entries.
@@ -89,19 +89,20 @@
         let last_heard = state.peers.get(name).and_then(|peer| peer.last_heard);
         *name == state.local.entry || last_heard.is_some_and(|at| now.since(at) < silence)
     };
-    let unowned = domains(state).into_iter().filter(|name| {
+    let is_unowned = |name: &domain::Name| {
         let row = state.ownership.owner_rows.get(name);
         let owned = row.is_some_and(|row| {
             alive(&row.owner.entry) && !is_former_incarnation(state, &row.owner)
         });
         !owned && !state.ownership.planners.contains_key(name)
-    });
-    unowned
-        .filter(|name| {
-            let candidates = candidates(state, name);
-            candidates.iter().find(|entry| alive(entry)) == Some(&state.local.entry)
-        })
-        .collect()
+    };
+    let is_first = |candidates: &[entry::Name]| {
+        candidates.iter().find(|entry| alive(entry)) == Some(&state.local.entry)
+    };
+    let domains = state.ownership.candidates.iter();
+    let to_take_over =
+        domains.filter(|(name, candidates)| is_first(candidates) && is_unowned(name));
+    to_take_over.map(|(name, _)| name.clone()).collect()
 }
 
 /// Returns the fabric domains whose workers form replica groups.
@@ -114,31 +115,29 @@
     domains.collect()
 }
 
-/// Returns the candidates for the ownership of a domain in order of rank; the first live one
-/// takes it over.
-///
-/// Candidates gossip with each other, so that each can detect when a higher-ranked one fails.
-fn candidates(state: &State, domain: &domain::Name) -> Vec<entry::Name> {
-    let mut all: Vec<&entry::Name> = state.peers.keys().collect();
-    all.push(&state.local.entry);
-    let ranked = rendezvous::ranked(domain, all);
+/// Ranks the candidates for the ownership of each domain if entries or domains have changed.
+fn update_candidates(state: &mut State) {
+    let domains = domains(state);
+    let local = &state.local.entry;
+    let before = state.peers.range(..local.clone()).map(|(name, _)| name);
+    let after = state.peers.range(local.clone()..).map(|(name, _)| name);
     let count = if state.peers.len() <= ALL_CANDIDATES_MAX_PEERS {
-        ranked.len()
+        usize::MAX
     } else {
         CANDIDATES_PER_DOMAIN
     };
-    ranked.into_iter().take(count).cloned().collect()
+    let entries = before.chain([local]).chain(after);
+    state.ownership.candidates.update(&domains, entries, count);
 }
 
 /// Returns the other candidates and the owners of the domains for which this entry is a
 /// candidate.
 pub(super) fn fellow_candidates(state: &State) -> BTreeSet<entry::Name> {
     let mut fellows = BTreeSet::new();
-    for domain in domains(state) {
-        let candidates = candidates(state, &domain);
+    for (domain, candidates) in state.ownership.candidates.iter() {
         if candidates.contains(&state.local.entry) {
-            fellows.extend(candidates);
-            let row = state.ownership.owner_rows.get(&domain);
+            fellows.extend(candidates.iter().cloned());
+            let row = state.ownership.owner_rows.get(domain);
             fellows.extend(row.map(|row| row.owner.entry.clone()));
         }
     }
--- a/crates/cyclamen-replica/tests/replica/groups.rs
+++ b/crates/cyclamen-replica/tests/replica/groups.rs
@@ -145,6 +145,17 @@
     assert!(orders <= 4, "{orders} orders to two workers that are gone");
 }
 
+#[test]
+fn a_head_that_has_lost_its_address_does_not_hold_its_group() {
+    let mut sim = Simulation::new(8);
+    sim.run(START + START);
+    // Worker 0 is the head of the group of four, worker 1 another member.
+    sim.displace(0);
+    sim.crash(1);
+    sim.run(Duration::from_secs(60));
+    assert_eq!(count(&sim, "large"), 1, "{:?}", sim.spares());
+}
+
 #[test]
 fn too_few_workers_for_any_group_get_no_orders() {
     let mut sim = Simulation::new(1);
--- a/crates/cyclamen-route/src/rendezvous.rs
+++ b/crates/cyclamen-route/src/rendezvous.rs
@@ -28,6 +28,70 @@
     ranked
 }
 
+/// The highest-ranked candidates of each key, kept until the keys or the candidates change.
+///
+/// Ranking all candidates for all keys costs their product, too much to repeat at each check of
+/// a large fleet.
+#[derive(Debug)]
+pub struct Ranking<K, T> {
+    candidates: Vec<T>,
+    ranked: BTreeMap<K, Vec<T>>,
+}
+
+impl<K, T> Default for Ranking<K, T> {
+    fn default() -> Self {
+        Self {
+            candidates: Vec::new(),
+            ranked: BTreeMap::new(),
+        }
+    }
+}
+
+impl<K, T> Ranking<K, T>
+where
+    K: Clone + Display + Ord,
+    T: Clone + Display + Ord,
+{
+    /// Ranks the candidates for all keys that are new, or for all keys if the candidates have
+    /// changed; keeps the first `count` of each.
+    ///
+    /// The candidates must be given in the same order each time.
+    pub fn update<'a>(
+        &mut self,
+        keys: &BTreeSet<K>,
+        candidates: impl IntoIterator<Item = &'a T>,
+        count: usize,
+    ) where
+        T: 'a,
+    {
+        let candidates: Vec<&T> = candidates.into_iter().collect();
+        if !candidates.iter().copied().eq(self.candidates.iter()) {
+            self.candidates = candidates.iter().copied().cloned().collect();
+            self.ranked.clear();
+        }
+        self.ranked.retain(|key, _| keys.contains(key));
+        for key in keys {
+            if !self.ranked.contains_key(key) {
+                let first = ranked(key, candidates.iter().copied());
+                let first = first.into_iter().take(count).cloned().collect();
+                self.ranked.insert(key.clone(), first);
+            }
+        }
+    }
+
+    /// Returns the candidates of a key by descending score; none for an unknown key.
+    pub fn of(&self, key: &K) -> &[T] {
+        self.ranked.get(key).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns all keys with their candidates.
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &[T])> {
+        self.ranked
+            .iter()
+            .map(|(key, first)| (key, first.as_slice()))
+    }
+}
+
 /// Assigns each key to a candidate, with at most `keys / candidates`, rounded up, per
 /// candidate.
 ///
--- a/crates/cyclamen-route/tests/decisions.rs
+++ b/crates/cyclamen-route/tests/decisions.rs
@@ -352,3 +352,23 @@
     assert!(!outages.should_wait(at(12), &pool, at(30)));
     assert!(!outages.should_wait(at(9), &pool, at(9)));
 }
+
+#[test]
+fn a_ranking_follows_changes_of_keys_and_candidates() {
+    let names = |prefix: &str, range: std::ops::Range<usize>| -> BTreeSet<String> {
+        range.map(|n| format!("{prefix}{n}")).collect()
+    };
+    let mut ranking = rendezvous::Ranking::default();
+    let steps = [(0..5, 0..20), (0..8, 0..20), (2..8, 0..19), (2..8, 1..300)];
+    for (keys, candidates) in steps {
+        let (keys, candidates) = (names("domain-", keys), names("entry-", candidates));
+        ranking.update(&keys, &candidates, 3);
+        for key in &keys {
+            let ranked = rendezvous::ranked(key, &candidates);
+            let first: Vec<String> = ranked.into_iter().take(3).cloned().collect();
+            assert_eq!(ranking.of(key), first, "{key}");
+        }
+        assert!(ranking.iter().map(|(key, _)| key).eq(&keys));
+    }
+    assert_eq!(ranking.of(&"unknown".to_string()), &[] as &[String]);
+}
