--- a/crates/cyclamen-replica/src/planner.rs
+++ b/crates/cyclamen-replica/src/planner.rs
@@ -1,8 +1,10 @@
 //! Planning of the orders that keep the groups of one fabric domain complete.
 
 mod backoff;
+mod dissolving;
 mod forming;
 mod loads;
+mod sent;
 mod spares;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,15 +18,14 @@
 
 use crate::counts::GroupCounts;
 use crate::groups::{Group, Groups, State};
-use crate::order::{CloseMode, Command, Order, Outcome};
+use crate::order::{Command, Order, Outcome};
 use backoff::Backoff;
+use dissolving::Dissolving;
 use forming::Forming;
-use loads::{LOAD_TIMEOUT_FACTOR, Loads};
+use loads::Loads;
+use sent::Sent;
 use spares::is_warm_up;
 
-/// The maximum number of times that a resend interval is doubled.
-const MAX_RESEND_DOUBLINGS: u32 = 8;
-
 /// Timeouts and intervals of a planner.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -108,26 +109,6 @@
     }
 }
 
-/// An order that was sent to a worker.
-#[derive(Debug)]
-struct Sent {
-    order: Order,
-    at: Time,
-    /// How often it was sent again.
-    repetitions: u32,
-    /// Whether the worker has accepted it.
-    accepted: bool,
-}
-
-/// A group that is being dissolved.
-#[derive(Debug)]
-struct Dissolving {
-    /// The members that were present when its dissolution began.
-    members: BTreeSet<instance::Id>,
-    /// Whether these are all members of the group.
-    is_complete: bool,
-}
-
 /// Computes the orders that keep the groups of one fabric domain complete.
 ///
 /// The state of the groups is read from the workers; a planner that takes over a
@@ -290,68 +271,6 @@
         workers
     }
 
-    /// Closes groups that have a leaving member and dissolves those that can no longer serve.
-    fn reconcile_formed(&mut self, view: &View<'_>, groups: &Groups, orders: &mut Vec<Command>) {
-        for group in groups.iter() {
-            if self.forming.contains_key(&group.id) || self.is_warming(view, group) {
-                continue;
-            }
-            let has_leaving = group.members.values().any(|m| m.status == Status::Leaving);
-            match group.state(view.engine, |m| view.is_lost(m)) {
-                State::Joining => self.dissolve_overdue(view, group, orders),
-                State::Closing => {}
-                State::Serving if has_leaving => {
-                    orders.extend(command_head(group, |group, fence| Order::Close {
-                        group,
-                        fence,
-                        mode: CloseMode::Drain,
-                    }));
-                }
-                State::Serving => {}
-                // A group that is not being formed is not opened: a member may still get a
-                // delayed order to join another group that was to replace this one.
-                State::Ready | State::Partial => self.dissolve(view, group, orders),
-            }
-        }
-    }
-
-    /// Dissolves a group that this planner does not form if its members should be ready.
-    fn dissolve_overdue(&mut self, view: &View<'_>, group: &Group, orders: &mut Vec<Command>) {
-        let key = (group.id.clone(), group.fence);
-        let model = group.model.as_ref().and_then(|m| view.engine.model(m));
-        let load = model.map(|m| m.load).unwrap_or_default();
-        let deadline = view.now + load * LOAD_TIMEOUT_FACTOR;
-        let deadline = *self.ready_deadlines.entry(key).or_insert(deadline);
-        if view.now >= deadline {
-            self.dissolve(view, group, orders);
-        }
-    }
-
-    /// Orders every member that counts as alive to leave the group, except those that were ordered
-    /// to join another one.
-    fn dissolve(&mut self, view: &View<'_>, group: &Group, orders: &mut Vec<Command>) {
-        if !is_warm_up(&group.id) {
-            let key = (group.id.clone(), group.fence);
-            let model = group.model.as_ref().and_then(|m| view.engine.model(m));
-            let members = group.members.values().map(|m| m.id.clone());
-            self.dissolving.entry(key).or_insert_with(|| Dissolving {
-                members: members.collect(),
-                is_complete: model.is_some_and(|m| group.members.len() >= m.size),
-            });
-        }
-        let joining: BTreeSet<_> = self.forming.values().flat_map(Forming::ids).collect();
-        let members = group.members.values();
-        let remaining = members.filter(|m| !view.is_lost(m) && !joining.contains(&m.id));
-        orders.extend(remaining.map(|member| Command {
-            instance: member.id.clone(),
-            address: member.address,
-            order: Order::Leave {
-                group: group.id.clone(),
-                fence: group.fence,
-            },
-        }));
-    }
-
     /// Returns the workers that may join a group.
     ///
     /// Workers that have left a group that is being dissolved must not join another one while
@@ -401,36 +320,6 @@
         counts
     }
 
-    /// Returns whether the order differs from the worker's last one or its resend interval has
-    /// passed.
-    fn is_due(&self, now: Time, command: &Command) -> bool {
-        let last = self.sent.get(&command.instance);
-        let Some(last) = last.filter(|last| last.order == command.order) else {
-            return true;
-        };
-        let factor = 1 << last.repetitions.min(MAX_RESEND_DOUBLINGS);
-        let interval = self.options.resend_interval * factor;
-        let interval = interval.min(self.options.max_resend_interval);
-        let interval = if last.accepted {
-            interval.max(self.options.accepted_resend_interval)
-        } else {
-            interval
-        };
-        now.since(last.at) >= interval
-    }
-
-    fn record_sent(&mut self, now: Time, command: &Command) {
-        let last = self.sent.get(&command.instance);
-        let same = last.filter(|last| last.order == command.order);
-        let sent = Sent {
-            order: command.order.clone(),
-            at: now,
-            repetitions: same.map_or(0, |last| last.repetitions.saturating_add(1)),
-            accepted: false,
-        };
-        self.sent.insert(command.instance.clone(), sent);
-    }
-
     fn next_fence(&mut self) -> group::Fence {
         self.fence = self.fence.next();
         self.fence
--- a/crates/cyclamen-replica/src/planner/forming.rs
+++ b/crates/cyclamen-replica/src/planner/forming.rs
@@ -20,7 +20,7 @@
     pub(super) model: model::Name,
     pub(super) fence: group::Fence,
     /// Whether the members load weights to join.
-    pub(super) loads: bool,
+    pub(super) must_load: bool,
     members: Vec<Arc<Instance>>,
     /// When every member has to have begun to join.
     join_deadline: Time,
@@ -180,16 +180,16 @@
         let Ok(id) = format!("{}-{fence}", self.domain).parse::<group::Id>() else {
             return;
         };
-        let loads = !members.iter().all(|m| m.staged.contains(&model.name));
-        if loads {
+        let must_load = !members.iter().all(|m| m.staged.contains(&model.name));
+        if must_load {
             self.loads.record_joins(now, members.len());
         }
-        let join_time = if loads { model.load } else { model.warm };
+        let join_time = if must_load { model.load } else { model.warm };
         let join_deadline = now + self.options.join_timeout;
         let forming = Forming {
             model: model.name.clone(),
             fence,
-            loads,
+            must_load,
             members,
             join_deadline,
             ready_deadline: join_deadline + join_time * LOAD_TIMEOUT_FACTOR,
--- a/crates/cyclamen-replica/src/planner/loads.rs
+++ b/crates/cyclamen-replica/src/planner/loads.rs
@@ -1,6 +1,7 @@
 //! Loads of weights from the weight store, and the limits that all domains share.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use cyclamen_directory::instance::Phase;
 use cyclamen_directory::service::Model;
@@ -46,7 +47,7 @@
     }
 
     /// Removes loads that have ended or failed.
-    pub(super) fn update(&mut self, view: &View<'_>, window: std::time::Duration) {
+    pub(super) fn update(&mut self, view: &View<'_>, window: Duration) {
         self.ordered_at.retain(|at| view.now.since(*at) < window);
         self.staging.retain(|id, staging| {
             let Some(worker) = view.worker(id).filter(|w| w.alive) else {
@@ -106,7 +107,7 @@
                 loading.insert(&instance.id);
             }
         }
-        for forming in self.forming.values().filter(|f| f.loads) {
+        for forming in self.forming.values().filter(|f| f.must_load) {
             loading.extend(forming.ids());
         }
         loading.len()
