plan: share the weight store among domains that can form a group

Domains left with too few workers for any group counted as loading, although they load nothing, so that after a mass loss the others loaded one worker at a time.

--- a/crates/cyclamen-directory/src/service.rs
+++ b/crates/cyclamen-directory/src/service.rs
@@ -59,6 +59,13 @@
 }
 
 impl Engine {
+    /// Returns the number of workers in a group of the smallest model; no number of workers is
+    /// enough if there are no models.
+    pub fn smallest_group(&self) -> usize {
+        let sizes = self.models.iter().map(|model| model.size);
+        sizes.min().unwrap_or(usize::MAX)
+    }
+
     /// Returns the model with the given name.
     pub fn model(&self, name: &model::Name) -> Option<&Model> {
         self.models.iter().find(|m| m.name == *name)
--- a/crates/cyclamen-gateway/src/tasks/plan.rs
+++ b/crates/cyclamen-gateway/src/tasks/plan.rs
@@ -1,6 +1,5 @@
 //! Sends the orders that keep the groups of owned domains complete.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use cyclamen_directory::Instance;
@@ -52,7 +51,13 @@
         return Vec::new();
     };
     let domains = ownership::domains(state).len();
-    let loading_domains = loading_domains(state, service);
+    let records = state.registry.records();
+    let available = records.filter(|record| {
+        let of_service = record.instance.service == service.name;
+        of_service && record.is_listed() && record.is_ready()
+    });
+    let available = available.map(|record| record.instance.as_ref());
+    let loading_domains = cyclamen_replica::loading_domains(engine, available);
     let mut planners = std::mem::take(&mut state.ownership.planners);
     let mut commands = Vec::new();
     for (name, planner) in &mut planners {
@@ -97,22 +102,6 @@
         .collect()
 }
 
-/// Counts the fabric domains with workers that accept new work and hold no weights.
-fn loading_domains(state: &State, service: &Service) -> usize {
-    let records = state.registry.records();
-    let empty = records.filter(|record| {
-        let instance = &record.instance;
-        record.is_listed()
-            && record.is_ready()
-            && instance.staged.is_empty()
-            && instance.service == service.name
-    });
-    let domains: BTreeSet<_> = empty
-        .filter_map(|record| record.instance.domain.as_ref())
-        .collect();
-    domains.len()
-}
-
 /// Counts the complete groups of each model in other domains.
 fn remote_groups(state: &State, service: &Service, domain: &domain::Name) -> GroupCounts {
     let mut counts = GroupCounts::new();
--- a/crates/cyclamen-replica/src/lib.rs
+++ b/crates/cyclamen-replica/src/lib.rs
@@ -16,4 +16,4 @@
 pub use detector::{Detector, Start, Timing};
 pub use groups::{Group, Groups, State};
 pub use order::{CloseMode, Command, Order, Outcome};
-pub use planner::{Options, Planner, View, Worker};
+pub use planner::{Options, Planner, View, Worker, loading_domains};
--- a/crates/cyclamen-replica/src/planner.rs
+++ b/crates/cyclamen-replica/src/planner.rs
@@ -23,6 +23,7 @@
 use dissolving::Dissolving;
 use forming::Forming;
 use loads::Loads;
+pub use loads::loading_domains;
 use sent::Sent;
 use spares::is_warm_up;
 
@@ -93,8 +94,7 @@
     pub remote_groups: &'a GroupCounts,
     /// The number of fabric domains that share the rate limit on loads of weights.
     pub domain_count: usize,
-    /// The number of fabric domains with workers that hold no weights, which share the weight
-    /// store's bandwidth.
+    /// The number of fabric domains that load weights, which share the weight store's bandwidth.
     pub loading_domains: usize,
 }
 
@@ -332,8 +332,7 @@
         let present = w.alive && w.listed && w.zone_active;
         present && w.instance.status == Status::Ready
     });
-    let smallest = view.engine.models.iter().map(|m| m.size).min();
-    smallest.is_some_and(|size| usable.count() >= size)
+    usable.count() >= view.engine.smallest_group()
 }
 
 /// Returns an order to the head of a group, if the head is present.
--- a/crates/cyclamen-replica/src/planner/loads.rs
+++ b/crates/cyclamen-replica/src/planner/loads.rs
@@ -3,9 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use cyclamen_directory::Instance;
 use cyclamen_directory::instance::Phase;
-use cyclamen_directory::service::Model;
-use cyclamen_types::{Time, instance, model};
+use cyclamen_directory::service::{Engine, Model};
+use cyclamen_types::{Time, domain, instance, model};
 
 use crate::planner::{Planner, View};
 
@@ -114,10 +115,33 @@
     }
 }
 
+/// Counts the fabric domains that load weights: those with workers that hold none and enough
+/// workers for a group of any model.
+///
+/// The instances are those of one service that are listed and accept new work.
+pub fn loading_domains<'a>(
+    engine: &Engine,
+    instances: impl IntoIterator<Item = &'a Instance>,
+) -> usize {
+    let mut domains: BTreeMap<&domain::Name, (usize, bool)> = BTreeMap::new();
+    for instance in instances {
+        if let Some(domain) = &instance.domain {
+            let (workers, any_empty) = domains.entry(domain).or_default();
+            *workers += 1;
+            *any_empty |= instance.staged.is_empty();
+        }
+    }
+    let smallest = engine.smallest_group();
+    let loading = domains
+        .values()
+        .filter(|(workers, any_empty)| *any_empty && *workers >= smallest);
+    loading.count()
+}
+
 /// Returns how many loads may be in progress in this domain: its share of what the weight store
 /// bears, but at least one.
 ///
-/// Only domains with workers that hold no weights count; the others rarely load any.
+/// Only domains that [`loading_domains`] counts share it; the others rarely load any.
 fn concurrency_limit(view: &View<'_>) -> usize {
     let all = view.engine.concurrent_loads.unwrap_or(usize::MAX);
     (all / view.loading_domains.max(1)).max(1)
--- a/crates/cyclamen-replica/tests/replica/main.rs
+++ b/crates/cyclamen-replica/tests/replica/main.rs
@@ -5,4 +5,5 @@
 mod counts;
 mod detector;
 mod groups;
+mod loads;
 mod simulation;
