test: show with processes that a call under one key could run twice

One entry abandons its attempt while its row stays claimed; a second one claims the call between the query and the next read of a third.

--- a/dev/stand-in/tests/processes.rs
+++ b/dev/stand-in/tests/processes.rs
@@ -7,6 +7,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use rustix::process::Signal;
 use serde_json::{Value, json};
@@ -217,6 +218,40 @@
     assert_eq!(site.post(1, "other", Some("k2")).unwrap().status, 422);
 }
 
+/// Entry 0 writes a claim, does not learn of it and abandons its attempt, and the row stays.
+/// Entry 2 queries entry 0 for it while entry 1 claims the call, and reads the row again only
+/// afterwards.
+#[test]
+fn a_call_runs_once_if_two_entries_learn_that_an_attempt_was_abandoned() {
+    const CALL_TIME: Duration = Duration::from_millis(200);
+    let site = Site::start("abandoned-claim", 3);
+    let platform_call = |faults: Value| site.set_platform_faults(faults);
+    let slow_ms = CALL_TIME.as_millis();
+    platform_call(json!({"slow_ms": slow_ms, "lose_answers": true}));
+    std::thread::scope(|scope| {
+        let first = scope.spawn(|| site.post(0, "abandoned", Some("k1")).unwrap());
+        // The first call reads the row and then writes it; the next read is refused.
+        std::thread::sleep(CALL_TIME * 3 / 2);
+        platform_call(json!({"slow_ms": slow_ms, "lose_answers": true, "down": true}));
+        assert_eq!(first.join().unwrap().status, 503);
+    });
+    assert_eq!(site.runs("abandoned"), 0);
+    platform_call(json!({"slow_ms": slow_ms}));
+    // The call of entry 1 is still in progress when entry 2 could write its claim.
+    let post = trillium::Method::Post;
+    let slow_service = json!({"slow_ms": 5 * slow_ms});
+    site.request_as_operator(site.service, post, "/admin/faults", slow_service);
+    let statuses = std::thread::scope(|scope| {
+        let early = scope.spawn(|| site.post(1, "abandoned", Some("k1")).unwrap());
+        std::thread::sleep(CALL_TIME * 3 / 2);
+        let late = scope.spawn(|| site.post(2, "abandoned", Some("k1")).unwrap());
+        [early.join().unwrap().status, late.join().unwrap().status]
+    });
+    assert_eq!(site.runs("abandoned"), 1, "{statuses:?}");
+    assert_eq!(statuses[0], 200);
+    platform_call(json!({}));
+}
+
 #[test]
 fn a_lost_response_of_the_service_has_an_unknown_outcome_and_is_never_retried() {
     let site = Site::start("lost-response", 2);
