feat: send nothing to workers that say they are leaving or want a pause

The registry keeps what an incarnation said of itself, whatever the list names it, for ten minutes, so that a list restored from a copy does not bring it back. The dispatcher passes a paused worker over, in whatever group, until its time is up; if nothing else is left, callers get that time as their retry delay.

--- a/crates/cyclamen-directory/src/registry.rs
+++ b/crates/cyclamen-directory/src/registry.rs
@@ -10,6 +10,9 @@
 
 /// How long an unlisted instance stays in the registry while it finishes its work.
 const DEPARTED_RETENTION: Duration = Duration::from_secs(12);
+/// How long a worker that said itself that it is leaving is remembered, should the list name it
+/// as ready again.
+const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 /// How long after a store outage a removed instance may be listed again before the removal
 /// takes effect.
 const OUTAGE_GRACE: Duration = Duration::from_millis(2_500);
@@ -73,6 +76,8 @@
 pub struct Registry {
     records: BTreeMap<instance::Id, Record>,
     unreliable_until: Option<Time>,
+    /// Incarnations that said themselves that they are leaving, and when they first did.
+    leaving: BTreeMap<instance::Id, (instance::Incarnation, Time)>,
 }
 
 impl Registry {
@@ -81,8 +86,38 @@
         self.unreliable_until = Some(now + OUTAGE_GRACE);
     }
 
+    /// Records that an instance said itself that it is leaving, whatever the list says of this
+    /// incarnation; returns whether that is new.
+    pub fn record_leaving(
+        &mut self,
+        now: Time,
+        id: &instance::Id,
+        incarnation: instance::Incarnation,
+    ) -> bool {
+        if self.is_leaving(id, incarnation) {
+            return false;
+        }
+        self.leaving.insert(id.clone(), (incarnation, now));
+        let record = self.records.get_mut(id);
+        if let Some(record) = record.filter(|r| r.instance.incarnation == incarnation) {
+            record.instance = Arc::new(Instance {
+                status: Status::Leaving,
+                ..Instance::clone(&record.instance)
+            });
+        }
+        true
+    }
+
+    fn is_leaving(&self, id: &instance::Id, incarnation: instance::Incarnation) -> bool {
+        let leaving = self.leaving.get(id);
+        leaving.is_some_and(|(known, _)| *known == incarnation)
+    }
+
     /// Inserts or updates a listed instance; returns whether anything changed.
-    pub fn upsert(&mut self, now: Time, instance: Instance) -> bool {
+    pub fn upsert(&mut self, now: Time, mut instance: Instance) -> bool {
+        if self.is_leaving(&instance.id, instance.incarnation) {
+            instance.status = Status::Leaving;
+        }
         let same = self
             .records
             .get(&instance.id)
@@ -127,6 +162,8 @@
     /// Removes instances whose retention has ended, and marks instances as departed that were not
     /// listed again after an outage; returns whether there were any.
     pub fn expire(&mut self, now: Time) -> bool {
+        self.leaving
+            .retain(|_, (_, at)| now.since(*at) < LEAVING_RETENTION);
         let before = self.records.len();
         let is_retained = |at: Time| now.since(at) < DEPARTED_RETENTION;
         self.records
--- a/crates/cyclamen-directory/tests/directory.rs
+++ b/crates/cyclamen-directory/tests/directory.rs
@@ -184,3 +184,27 @@
     assert!(registry.upsert(at(0), instance("w")));
     assert!(!registry.upsert(at(500), instance("w")));
 }
+
+#[test]
+fn an_instance_that_says_it_is_leaving_stays_so_until_it_restarts() {
+    let mut registry = Registry::default();
+    registry.upsert(at(0), instance("w1"));
+    let incarnation = instance::Incarnation(1);
+    let id = "w1".parse().unwrap();
+    assert!(registry.record_leaving(at(10), &id, incarnation));
+    assert!(!registry.record_leaving(at(20), &id, incarnation));
+    assert_eq!(ready(&registry), Vec::<&str>::new());
+    registry.upsert(at(30), instance("w1"));
+    assert_eq!(ready(&registry), Vec::<&str>::new());
+    // The list drops it and, restored from a copy, names it again.
+    registry.remove(at(40), &id);
+    registry.expire(at(60_000));
+    registry.upsert(at(60_000), instance("w1"));
+    assert_eq!(ready(&registry), Vec::<&str>::new());
+    let restarted = Instance {
+        incarnation: instance::Incarnation(2),
+        ..instance("w1")
+    };
+    registry.upsert(at(60_100), restarted);
+    assert_eq!(ready(&registry), ["w1"]);
+}
--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -8,6 +8,7 @@
 
 use crate::limiter::{Limiter, Position};
 use crate::options::Options;
+use crate::pauses::Pauses;
 use crate::request::{Criteria, Dispatch, Load, Outcome, Reason, Refusal, Target};
 
 /// Additional cost of a worker that recently failed or shed a request, in multiples of the latency
@@ -54,6 +55,7 @@
     options: Options,
     workers: BTreeMap<WorkerKey, Worker>,
     peers: BTreeMap<String, (Time, BTreeMap<WorkerKey, InProgress>)>,
+    pauses: Pauses,
 }
 
 impl Dispatcher {
@@ -63,6 +65,7 @@
             options,
             workers: BTreeMap::new(),
             peers: BTreeMap::new(),
+            pauses: Pauses::default(),
         }
     }
 
@@ -101,6 +104,10 @@
                 continue;
             }
             rejections.workers += 1;
+            if let Some(remaining) = self.pauses.remaining(now, &worker.target) {
+                rejections.record_pause(remaining);
+                continue;
+            }
             let theirs = peers.get(key).copied();
             let in_progress =
                 theirs.map_or(worker.in_progress, |theirs| worker.in_progress.plus(theirs));
@@ -141,6 +148,11 @@
         })
     }
 
+    /// Records that a worker wants no requests from this entry for a while.
+    pub fn record_pause(&mut self, now: Time, dispatch: &Dispatch, time: Duration) {
+        self.pauses.record(now, &dispatch.target, time);
+    }
+
     /// Records that the response to a request has begun.
     pub fn record_started(&mut self, dispatch: &Dispatch) {
         if let Some(worker) = self.worker_of(dispatch) {
@@ -329,6 +341,8 @@
     workers: usize,
     least_wait: Option<Duration>,
     cold: bool,
+    /// The shortest remaining pause.
+    pause: Option<Duration>,
 }
 
 impl Rejections {
@@ -336,13 +350,18 @@
         self.least_wait = Some(self.least_wait.map_or(wait, |least| least.min(wait)));
     }
 
+    fn record_pause(&mut self, remaining: Duration) {
+        self.pause = Some(self.pause.map_or(remaining, |least| least.min(remaining)));
+    }
+
     /// Returns the refusal; if workers are overloaded, its retry delay is the time after which the
     /// shortest forecast wait should have fallen to half the latency goal.
     fn refusal(self, criteria: &Criteria<'_>, options: &Options) -> Refusal {
-        let (reason, wait) = match (self.least_wait, self.cold) {
-            (Some(wait), _) => (Reason::Overloaded, wait.saturating_sub(criteria.goal / 2)),
-            (None, true) => (Reason::Cold, COLD_RETRY_DELAY),
-            (None, false) => (Reason::NoWorker, options.min_retry_after * 2),
+        let (reason, wait) = match (self.least_wait, self.cold, self.pause) {
+            (Some(wait), ..) => (Reason::Overloaded, wait.saturating_sub(criteria.goal / 2)),
+            (None, true, _) => (Reason::Cold, COLD_RETRY_DELAY),
+            (None, false, Some(remaining)) => (Reason::Paused, remaining),
+            (None, false, None) => (Reason::NoWorker, options.min_retry_after * 2),
         };
         Refusal {
             reason,
--- a/crates/cyclamen-dispatch/src/lib.rs
+++ b/crates/cyclamen-dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod forecast;
 mod limiter;
 mod options;
+mod pauses;
 mod request;
 mod retry_budget;
 
--- a/crates/cyclamen-dispatch/src/request.rs
+++ b/crates/cyclamen-dispatch/src/request.rs
@@ -114,6 +114,8 @@
     Overloaded,
     /// All workers are cold and this entry's quotas of their rate limits are used up.
     Cold,
+    /// All workers want no requests from this entry for a while.
+    Paused,
 }
 
 impl Reason {
@@ -123,6 +125,7 @@
             Self::NoWorker => "no_worker",
             Self::Overloaded => "overloaded",
             Self::Cold => "cold",
+            Self::Paused => "paused",
         }
     }
 }
--- a/crates/cyclamen-dispatch/tests/dispatch.rs
+++ b/crates/cyclamen-dispatch/tests/dispatch.rs
@@ -384,3 +384,40 @@
     }
     assert!(dispatcher.peer_count() < 100, "{}", dispatcher.peer_count());
 }
+
+#[test]
+fn a_paused_worker_gets_no_requests_until_its_pause_ends() {
+    let mut dispatcher = dispatcher([head("w1", "a")]);
+    let request = Request::new();
+    let dispatch = dispatcher
+        .choose(at(0), &request.criteria(), &mut rng())
+        .unwrap();
+    dispatcher.record_pause(at(0), &dispatch, Duration::from_secs(2));
+    dispatcher.record_pause(at(100), &dispatch, Duration::from_millis(500));
+    // The worker heads another group meanwhile.
+    let regrouped = Target {
+        fence: group::Fence(8),
+        ..head("w1", "a")
+    };
+    dispatcher.refresh([regrouped.clone()]);
+    let refused = dispatcher.choose(at(1_500), &request.criteria(), &mut rng());
+    let refusal = refused.unwrap_err();
+    assert_eq!(refusal.reason, Reason::Paused);
+    assert_eq!(refusal.retry_after, Duration::from_millis(500));
+    assert!(
+        dispatcher
+            .choose(at(2_000), &request.criteria(), &mut rng())
+            .is_ok()
+    );
+    dispatcher.record_pause(at(3_000), &dispatch, Duration::from_secs(2));
+    let restarted = Target {
+        incarnation: instance::Incarnation(2),
+        ..regrouped
+    };
+    dispatcher.refresh([restarted]);
+    assert!(
+        dispatcher
+            .choose(at(3_100), &request.criteria(), &mut rng())
+            .is_ok()
+    );
+}
--- a/crates/cyclamen-gateway/src/frontend/buffered.rs
+++ b/crates/cyclamen-gateway/src/frontend/buffered.rs
@@ -12,7 +12,7 @@
 
 use crate::frontend::refusal::Refusal;
 use crate::frontend::request::Request;
-use crate::frontend::response::{Class, classify};
+use crate::frontend::response::{Class, classify, record_notices};
 use crate::frontend::send::send;
 use crate::tasks;
 
@@ -150,6 +150,7 @@
             Error::Closed => Failure::Closed,
             Error::Malformed => Failure::Unknown,
         })?;
+    record_notices(request, dispatch, &response);
     let class = classify(request, &response);
     match class {
         Class::NotRun => return Err(Failure::NotRun),
--- a/crates/cyclamen-gateway/src/frontend/response.rs
+++ b/crates/cyclamen-gateway/src/frontend/response.rs
@@ -1,6 +1,10 @@
 //! Classification of workers' responses.
 
+use std::time::Duration;
+
+use cyclamen_dispatch::Dispatch;
 use cyclamen_http::StreamingResponse;
+use trillium::KnownHeaderName;
 
 use crate::frontend::request::Request;
 
@@ -21,6 +25,30 @@
 /// Statuses from which callers conclude that a request has not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
+/// Records what the head of a response says of the worker, whatever the response is: that it is
+/// leaving, or that it wants no requests from this entry for a while.
+pub(crate) fn record_notices(request: &Request, dispatch: &Dispatch, response: &StreamingResponse) {
+    let node = &request.node;
+    let now = node.now();
+    if response.headers.has_header(node.platform.dialect().leaving) {
+        node.state().record_leaving(now, &dispatch.target);
+        node.wake_planner();
+    }
+    if response.status != 503 {
+        return;
+    }
+    let seconds = response.headers.get_str(KnownHeaderName::RetryAfter);
+    let seconds = seconds.and_then(|text| text.trim().parse::<f64>().ok());
+    if let Some(pause) = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok()) {
+        log::info!(
+            "event=worker_paused instance={} pause_ms={}",
+            dispatch.target.instance,
+            pause.as_millis()
+        );
+        node.state().dispatcher.record_pause(now, dispatch, pause);
+    }
+}
+
 /// Classifies a worker's response by its head.
 pub(crate) fn classify(request: &Request, response: &StreamingResponse) -> Class {
     let dialect = request.node.platform.dialect();
--- a/crates/cyclamen-gateway/src/frontend/stream/connect.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/connect.rs
@@ -9,7 +9,7 @@
 use smol::future::or;
 
 use crate::frontend::refusal::Refusal;
-use crate::frontend::response::{Class, classify};
+use crate::frontend::response::{Class, classify, record_notices};
 use crate::frontend::send::send;
 use crate::frontend::stream::{
     Head, Part, Relay, SILENCE_CHECK_INTERVAL, Upstream, first_event_probe_delay,
@@ -108,6 +108,7 @@
 
     /// Accepts a response, unless its head shows that the request must be retried or refused.
     fn accept(&mut self, dispatch: Dispatch, response: StreamingResponse) -> Result<Head, Failure> {
+        record_notices(&self.request, &dispatch, &response);
         match classify(&self.request, &response) {
             Class::NotRun => {
                 self.request.record_outcome(&dispatch, Outcome::Shed, false);
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -228,6 +228,16 @@
         }
     }
 
+    /// Records that a worker said in a response that it is leaving: it gets no new requests from
+    /// this entry, whatever the list says of this incarnation.
+    pub(crate) fn record_leaving(&mut self, now: Time, target: &Target) {
+        let (id, incarnation) = (&target.instance, target.incarnation);
+        if self.registry.record_leaving(now, id, incarnation) {
+            log::info!("event=instance_leaving instance={id} incarnation={incarnation}");
+            self.refresh_targets(now);
+        }
+    }
+
     /// Records that the group that a target heads makes progress on a request: none of its members
     /// has failed, even if it does not respond to probes in time.
     pub(crate) fn record_progress(&mut self, now: Time, target: &Target) {
--- a/crates/cyclamen-gateway/src/platform/dialect.rs
+++ b/crates/cyclamen-gateway/src/platform/dialect.rs
@@ -29,4 +29,6 @@
     pub urgency: &'static str,
     /// Present on responses to requests that did not run.
     pub not_run: &'static str,
+    /// Present on all responses of a worker that is leaving.
+    pub leaving: &'static str,
 }
