--- a/crates/cyclamen-gateway/src/frontend/response.rs
+++ b/crates/cyclamen-gateway/src/frontend/response.rs
@@ -30,8 +30,8 @@
 pub(crate) fn record_notices(request: &Request, dispatch: &Dispatch, response: &StreamingResponse) {
     let node = &request.node;
     let now = node.now();
-    if response.headers.has_header(node.platform.dialect().leaving) {
-        node.state().record_leaving(now, &dispatch.target);
+    let is_leaving = response.headers.has_header(node.platform.dialect().leaving);
+    if is_leaving && node.state().record_leaving(now, &dispatch.target) {
         node.wake_planner();
     }
     if response.status != 503 {
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -229,13 +229,15 @@
     }
 
     /// Records that a worker said in a response that it is leaving: it gets no new requests from
-    /// this entry, whatever the list says of this incarnation.
-    pub(crate) fn record_leaving(&mut self, now: Time, target: &Target) {
+    /// this entry, whatever the list says of this incarnation. Returns whether that is new.
+    pub(crate) fn record_leaving(&mut self, now: Time, target: &Target) -> bool {
         let (id, incarnation) = (&target.instance, target.incarnation);
-        if self.registry.record_leaving(now, id, incarnation) {
+        let is_new = self.registry.record_leaving(now, id, incarnation);
+        if is_new {
             log::info!("event=instance_leaving instance={id} incarnation={incarnation}");
             self.refresh_targets(now);
         }
+        is_new
     }
 
     /// Records that the group that a target heads makes progress on a request: none of its members
