feat: tell how old an entry's knowledge of a table is, and where it came from

Each call for changes that fails is logged now (table_not_followed, with the time waited and the age of what is known), event=configuration has its source, event=request the age, and table_age_seconds is exported. No decision changed.

--- a/crates/cyclamen-gateway/src/frontend.rs
+++ b/crates/cyclamen-gateway/src/frontend.rs
@@ -12,7 +12,7 @@
 
 use trillium::{Conn, Handler, KnownHeaderName};
 
-use crate::node::Node;
+use crate::node::{FOLLOWED_TABLES, Node};
 use refusal::Refusal;
 use request::Request;
 
@@ -62,8 +62,15 @@
             return conn;
         }
         let conn = conn.with_response_header(KnownHeaderName::ContentType, "text/plain");
-        let targets = self.0.state().target_counts();
+        let now = self.0.now();
+        let state = self.0.state();
+        let targets = state.target_counts();
+        let ages = FOLLOWED_TABLES.map(|table| (table, state.table_age(now, table)));
+        drop(state);
         self.0.metrics.record_targets(&targets);
+        for (table, age) in ages {
+            self.0.metrics.record_table_age(table, age);
+        }
         conn.ok(self.0.metrics.text())
     }
 }
--- a/crates/cyclamen-gateway/src/frontend/check.rs
+++ b/crates/cyclamen-gateway/src/frontend/check.rs
@@ -11,6 +11,7 @@
 
 use crate::frontend::refusal::Refusal;
 use crate::node::Node;
+use crate::platform::Table;
 
 /// The timeout for reading a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -60,16 +61,22 @@
     let id = conn
         .request_headers()
         .get_str(node.platform.dialect().request_id);
-    let version = node.state().catalog.version();
+    let now = node.now();
+    let (version, age) = {
+        let state = node.state();
+        let age = state.table_age(now, Table::Operators);
+        (state.catalog.version(), age)
+    };
     node.metrics
         .record_request("none", refusal.reason, Duration::ZERO);
     log::info!(
-        "event=request id={} outcome={} status={} host={:?} path={:?} version={version}",
+        "event=request id={} outcome={} status={} host={:?} path={:?} version={version} age_ms={}",
         id.unwrap_or("none"),
         refusal.reason,
         refusal.status,
         conn.host().unwrap_or_default(),
-        conn.path()
+        conn.path(),
+        age.as_millis()
     );
 }
 
--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -283,6 +283,7 @@
         let mut state = self.node.state();
         state.in_progress = state.in_progress.saturating_sub(1);
         let version = state.catalog.version();
+        let age = state.table_age(now, Table::Operators);
         drop(state);
         let service = self.service.name.as_str();
         self.node.metrics.record_request(service, outcome, elapsed);
@@ -290,11 +291,12 @@
         let running = dispatch.map_or(0, |dispatch| dispatch.running);
         log::info!(
             "event=request id={} route={} service={service} outcome={outcome} status={status} \
-             instance={worker} running={running} tried={} took_ms={} version={version}",
+             instance={worker} running={running} tried={} took_ms={} version={version} age_ms={}",
             self.id,
             self.route.name,
             self.tried.len(),
-            elapsed.as_millis()
+            elapsed.as_millis(),
+            age.as_millis()
         );
     }
 
--- a/crates/cyclamen-gateway/src/metrics.rs
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 
 use crate::node::TargetCount;
+use crate::platform::Table;
 
 const SCOPE_NAME: &str = "cyclamenpath";
 /// Upper bounds of the latency buckets, in seconds.
@@ -25,6 +26,7 @@
     store_calls: Counter<u64>,
     crashes: Counter<u64>,
     targets: Gauge<u64>,
+    table_age: Gauge<f64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
 }
@@ -50,6 +52,7 @@
             store_calls: meter.u64_counter("store_calls").build(),
             crashes: meter.u64_counter("worker_crashes").build(),
             targets: meter.u64_gauge("targets").build(),
+            table_age: meter.f64_gauge("table_age").with_unit("s").build(),
             first_byte: latency_histogram("first_byte"),
             duration: latency_histogram("request_duration"),
             registry,
@@ -108,6 +111,12 @@
         }
     }
 
+    /// Records the time since the store last delivered a followed table.
+    pub(crate) fn record_table_age(&self, table: Table, age: Duration) {
+        let labels = [KeyValue::new("table", table.as_str())];
+        self.table_age.record(age.as_secs_f64(), &labels);
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> String {
         let encoder = prometheus::TextEncoder::new();
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -22,7 +22,7 @@
 pub(crate) use peers::Peer;
 pub(crate) use state::State;
 pub(crate) use targets::TargetCount;
-pub(crate) use updates::FOLLOWED_TABLES;
+pub(crate) use updates::{FOLLOWED_TABLES, Source};
 
 /// The state of this entry, and its clients for calls to workers and to other entries.
 pub(crate) struct Node {
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -48,6 +48,8 @@
     pub(crate) rows: Cache,
     /// The revision up to which the store has delivered each followed table.
     pub(crate) positions: BTreeMap<Table, Revision>,
+    /// When the store last answered a call for the changes of each followed table.
+    pub(crate) answered_at: BTreeMap<Table, Time>,
     /// The revision up to which gossip has delivered the operators' rows.
     pub(crate) operators_gossip_as_of: Revision,
     /// The times at which each followed table reached its recent revisions.
@@ -91,6 +93,7 @@
             detector: Detector::default(),
             rows: Cache::default(),
             positions: BTreeMap::new(),
+            answered_at: BTreeMap::new(),
             operators_gossip_as_of: Revision::default(),
             histories: BTreeMap::new(),
             peers: BTreeMap::new(),
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -21,17 +21,36 @@
 /// The tables whose changes every entry follows in the store and gossips to others.
 pub(crate) const FOLLOWED_TABLES: [Table; 2] = [Table::Operators, Table::Instances];
 
+/// Where a row came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// The platform's store.
+    Store,
+    /// Another entry.
+    Gossip,
+}
+
+impl Source {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Gossip => "gossip",
+        }
+    }
+}
+
 impl State {
-    /// Applies changed rows from the store or from another entry.
+    /// Applies changed rows.
     pub(crate) fn apply_rows(
         &mut self,
         now: Time,
         platform: &dyn Platform,
+        source: Source,
         rows: impl IntoIterator<Item = Row>,
     ) {
         let mut changed = false;
         for row in rows {
-            changed |= self.apply_row(now, platform, row);
+            changed |= self.apply_row(now, platform, source, row);
         }
         if changed {
             self.refresh_targets(now);
@@ -64,8 +83,8 @@
                 value: None,
             })
             .collect();
-        self.apply_rows(now, platform, snapshot.rows);
-        self.apply_rows(now, platform, deleted);
+        self.apply_rows(now, platform, Source::Store, snapshot.rows);
+        self.apply_rows(now, platform, Source::Store, deleted);
         self.record_position(now, table, snapshot.as_of);
     }
 
@@ -74,12 +93,20 @@
         let position = self.positions.entry(table).or_default();
         *position = as_of.max(*position);
         let position = *position;
+        self.answered_at.insert(table, now);
         self.histories
             .entry(table)
             .or_default()
             .record(now, position);
     }
 
+    /// Returns the time since the store last delivered a followed table, or since the start of this
+    /// process.
+    pub(crate) fn table_age(&self, now: Time, table: Table) -> Duration {
+        let answered_at = self.answered_at.get(&table);
+        now.since(answered_at.copied().unwrap_or_default())
+    }
+
     /// Records that gossip has delivered the operators' rows up to a revision.
     pub(crate) fn record_operators_gossip(&mut self, now: Time, revision: Revision) {
         self.operators_gossip_as_of = self.operators_gossip_as_of.max(revision);
@@ -113,7 +140,7 @@
 
     /// Applies a row unless the same or a newer revision is known; returns whether the targets
     /// may have changed.
-    fn apply_row(&mut self, now: Time, platform: &dyn Platform, row: Row) -> bool {
+    fn apply_row(&mut self, now: Time, platform: &dyn Platform, source: Source, row: Row) -> bool {
         let key = Key::new(&format!("{}/", row.table.as_str()), &row.key);
         let known = self.rows.row(&key).map(|known| known.revision);
         if known.is_some_and(|known| known >= row.revision) {
@@ -139,7 +166,7 @@
                 true
             }
             subject => match platform.decode(&row) {
-                Ok(record) => self.apply_record(now, row.revision, record),
+                Ok(record) => self.apply_record(now, row.revision, source, record),
                 Err(error) => {
                     log::warn!(
                         "event=row_not_understood table={} key={} revision={} reason=\"{error}\"",
@@ -156,12 +183,19 @@
         }
     }
 
-    fn apply_record(&mut self, now: Time, revision: Revision, record: Record) -> bool {
+    fn apply_record(
+        &mut self,
+        now: Time,
+        revision: Revision,
+        source: Source,
+        record: Record,
+    ) -> bool {
         match record {
             Record::Catalog(catalog) if catalog.version() > self.catalog.version() => {
                 log::info!(
-                    "event=configuration version={} revision={revision}",
-                    catalog.version()
+                    "event=configuration version={} revision={revision} source={}",
+                    catalog.version(),
+                    source.as_str()
                 );
                 self.catalog = Arc::new(catalog);
                 self.retain_retry_budgets();
--- a/crates/cyclamen-gateway/src/tasks/follow.rs
+++ b/crates/cyclamen-gateway/src/tasks/follow.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use cyclamen_replica::Planner;
+use cyclamen_types::Time;
 use smol::Timer;
 
-use crate::node::{FOLLOWED_TABLES, Node};
+use crate::node::{FOLLOWED_TABLES, Node, Source};
 use crate::platform::{Changes, Error, Snapshot, Table};
 use crate::settings::millis;
 use crate::tasks::store;
@@ -33,6 +34,7 @@
     let mut synced = false;
     let mut reachable = true;
     loop {
+        let called_at = node.now();
         let step = if synced {
             follow(&node, table).await
         } else {
@@ -55,7 +57,7 @@
                     );
                 }
                 reachable = false;
-                node.state().registry.record_outage(node.now());
+                record_failure(&node, table, called_at, &error);
                 Timer::after(delay).await;
                 delay = (delay * 2).min(MAX_RETRY_DELAY);
             }
@@ -63,6 +65,21 @@
     }
 }
 
+/// Records a call that the store did not answer, with the time spent on it and the age of what is
+/// known of the table.
+fn record_failure(node: &Arc<Node>, table: Table, called_at: Time, error: &Error) {
+    let now = node.now();
+    let mut state = node.state();
+    state.registry.record_outage(now);
+    let age = state.table_age(now, table);
+    log::info!(
+        "event=table_not_followed table={} waited_ms={} age_ms={} reason=\"{error}\"",
+        table.as_str(),
+        now.since(called_at).as_millis(),
+        age.as_millis()
+    );
+}
+
 async fn read(node: &Arc<Node>, table: Table) -> Result<(), Error> {
     let snapshot = store::read(node, table).await?;
     log::info!(
@@ -126,7 +143,7 @@
 fn apply(node: &Arc<Node>, table: Table, changed: Snapshot) -> bool {
     let now = node.now();
     let mut state = node.state();
-    state.apply_rows(now, node.platform.as_ref(), changed.rows);
+    state.apply_rows(now, node.platform.as_ref(), Source::Store, changed.rows);
     state.record_position(now, table, changed.as_of);
     let mut planners = state.ownership.planners.values();
     planners.any(Planner::is_busy)
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -9,7 +9,7 @@
 use cyclamen_types::{Time, entry};
 use rand::seq::IteratorRandom;
 
-use crate::node::{FOLLOWED_TABLES, Node, Peer, State};
+use crate::node::{FOLLOWED_TABLES, Node, Peer, Source, State};
 use crate::platform::{Row, Table};
 use crate::settings::millis;
 use crate::tasks::ownership;
@@ -186,7 +186,7 @@
     let has_rows = !rows.is_empty();
     let operators = rows.iter().filter(|row| row.table == Table::Operators);
     let newest = operators.map(|row| row.revision).max();
-    state.apply_rows(now, node.platform.as_ref(), rows);
+    state.apply_rows(now, node.platform.as_ref(), Source::Gossip, rows);
     if let Some(newest) = newest.filter(|_| now >= FORMER_INCARNATION_UNTIL) {
         state.record_operators_gossip(now, newest);
     }
