fix: bound calls for changes by the time within which a change has to be known

A gateway's long poll, sent while the store was silent, was waited for through its hold of 4 s and 0.7 s more, though the store was back: the logs of the incident show the polls that began at 9.62 s end at 14.43 s on all six gateways, the store's return at about 11.5 s.

A held call cannot be told from one that is never answered. The delay that lets changes of workers add up is part of the sum.

--- a/crates/cyclamen-gateway/src/platform.rs
+++ b/crates/cyclamen-gateway/src/platform.rs
@@ -1,6 +1,7 @@
 //! The interface between a gateway and the users' platform, implemented by an adapter.
 
 mod dialect;
+pub mod poll;
 mod store;
 
 use std::future::Future;
@@ -12,6 +13,7 @@
 use cyclamen_replica::{Command, Outcome};
 
 pub use dialect::Dialect;
+pub use poll::Poll;
 pub use store::{
     Changes, Commit, DecodeError, Error, Record, Row, Snapshot, Subject, Table, Transaction,
 };
@@ -27,12 +29,12 @@
     /// Reads a complete table.
     fn read(&self, table: Table) -> BoxFuture<Result<Snapshot, Error>>;
 
-    /// Waits for rows of a table that change after a revision, for `wait` at most.
+    /// Waits for rows of a table that change after a revision.
     fn follow(
         &self,
         table: Table,
         after: Revision,
-        wait: Duration,
+        poll: Poll,
     ) -> BoxFuture<Result<Changes, Error>>;
 
     /// Commits a transaction.
--- /dev/null
+++ b/crates/cyclamen-gateway/src/platform/poll.rs
@@ -0,0 +1,59 @@
+//! How long calls for the changes of a table may take.
+
+use std::time::Duration;
+
+/// The part of the time within which a change has to be known that is left for the retry of a call
+/// that was not answered.
+const RETRY_MARGIN: Duration = Duration::from_millis(300);
+/// The shortest hold of a poll after one that was answered.
+const MIN_HOLD: Duration = Duration::from_millis(200);
+
+/// The duration of a call for the changes of a table.
+///
+/// A call that the store holds open cannot be told from one that it will never answer. So no call
+/// takes longer than a change may remain unknown, and after a failure the store is asked to
+/// answer at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Poll {
+    /// How long the store may hold the call open until there are changes.
+    pub hold: Duration,
+    /// The time after which the call is given up, including the hold.
+    pub timeout: Duration,
+}
+
+/// The options from which polls of a table are derived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Options {
+    /// The time within which a change has to be known while the store can be reached.
+    pub freshness: Duration,
+    /// The longest hold.
+    pub max_hold: Duration,
+    /// The timeout of a call that is not held.
+    pub timeout: Duration,
+}
+
+impl Options {
+    /// Returns the shortest freshness that these options can keep.
+    pub fn min_freshness(timeout: Duration) -> Duration {
+        timeout + MIN_HOLD + RETRY_MARGIN
+    }
+
+    /// Returns the next poll, which begins `delay` after the answer to the last one if that was
+    /// answered.
+    pub fn next(&self, was_answered: bool, delay: Duration) -> Poll {
+        let timeout = self.freshness.saturating_sub(delay + RETRY_MARGIN);
+        let timeout = timeout.max(self.timeout + MIN_HOLD);
+        let hold = if was_answered {
+            self.max_hold.min(timeout - self.timeout)
+        } else {
+            Duration::ZERO
+        };
+        Poll { hold, timeout }
+    }
+
+    /// Returns the longest delay between the answer to a poll and the next one.
+    pub fn max_delay(&self) -> Duration {
+        self.freshness
+            .saturating_sub(Self::min_freshness(self.timeout))
+    }
+}
--- a/crates/cyclamen-gateway/src/settings.rs
+++ b/crates/cyclamen-gateway/src/settings.rs
@@ -8,6 +8,8 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use crate::platform::{Table, poll};
+
 /// The settings of a gateway.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -45,11 +47,15 @@
     /// The interval between renewals of the lease while this instance owns fabric domains or takes
     /// them over.
     pub renew_every_ms: u64,
-    /// How long the store may hold a request for changes open.
+    /// How long the store may hold a request for changes open at most.
     pub follow_wait_ms: u64,
-    /// The timeout of a call to the store, in addition to the time for which the store may hold
-    /// it open.
+    /// The timeout of a call to the store that is not held open.
     pub store_timeout_ms: u64,
+    /// The time within which this instance has to know a change of the operators' tables while
+    /// the store can be reached. It bounds the requests for changes.
+    pub operators_freshness_ms: u64,
+    /// The same for a change of the list of workers.
+    pub instances_freshness_ms: u64,
     /// The interval between gossip rounds with entries outside this instance's cell.
     ///
     /// A cell consists of entries and fabric domains of one availability zone; its entries prefer
@@ -80,6 +86,8 @@
             renew_every_ms: 1_000,
             follow_wait_ms: 4_000,
             store_timeout_ms: 700,
+            operators_freshness_ms: 2_000,
+            instances_freshness_ms: 2_000,
             news_every_ms: 250,
             near_news_every_ms: 60,
             peer_silence_ms: 1_200,
@@ -92,6 +100,21 @@
     }
 }
 
+impl Timing {
+    /// Returns the options for polls of a table.
+    pub(crate) fn polls(&self, table: Table) -> poll::Options {
+        let freshness = match table {
+            Table::Instances => self.instances_freshness_ms,
+            Table::Operators | Table::Entries | Table::Domains => self.operators_freshness_ms,
+        };
+        poll::Options {
+            freshness: millis(freshness),
+            max_hold: millis(self.follow_wait_ms),
+            timeout: millis(self.store_timeout_ms),
+        }
+    }
+}
+
 /// The retry budget of a service, shared by all entries.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -120,6 +143,8 @@
         let Self {
             timing, retries, ..
         } = self;
+        let min_freshness = poll::Options::min_freshness(millis(timing.store_timeout_ms));
+        let min_freshness_ms = min_freshness.as_millis() as u64;
         let rules = [
             (
                 "ready_listen",
@@ -152,6 +177,16 @@
                 "is less than twice timing.news_every_ms",
                 timing.peer_silence_ms < 2 * timing.news_every_ms,
             ),
+            (
+                "timing.operators_freshness_ms",
+                "is less than timing.store_timeout_ms and 500 ms",
+                timing.operators_freshness_ms < min_freshness_ms,
+            ),
+            (
+                "timing.instances_freshness_ms",
+                "is less than timing.store_timeout_ms and 500 ms",
+                timing.instances_freshness_ms < min_freshness_ms,
+            ),
             ("timing.news_every_ms", "is zero", timing.news_every_ms == 0),
             (
                 "timing.near_news_every_ms",
--- a/crates/cyclamen-gateway/src/tasks/follow.rs
+++ b/crates/cyclamen-gateway/src/tasks/follow.rs
@@ -9,10 +9,9 @@
 
 use crate::node::{FOLLOWED_TABLES, Node, Source};
 use crate::platform::{Changes, Error, Snapshot, Table};
-use crate::settings::millis;
 use crate::tasks::store;
 
-/// The initial retry delay after a failed call; it doubles with each failure.
+/// The initial time between the starts of a failed call and its retry; it doubles with each failure.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// The time, for each entry, by which the next read of instance changes is delayed so that they
 /// accumulate in the store. There is no delay while a group of an owned domain is being formed or
@@ -20,7 +19,7 @@
 const BATCH_WINDOW_PER_ENTRY: Duration = Duration::from_millis(20);
 /// The maximum delay of the next read of instance changes.
 const MAX_BATCH_WINDOW: Duration = Duration::from_millis(1_500);
-/// The maximum retry delay.
+/// The maximum time between the starts of a failed call and its retry.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// Starts a task for each table.
@@ -36,7 +35,7 @@
     loop {
         let called_at = node.now();
         let step = if synced {
-            follow(&node, table).await
+            follow(&node, table, reachable).await
         } else {
             read(&node, table).await.map(|()| true)
         };
@@ -58,7 +57,8 @@
                 }
                 reachable = false;
                 record_failure(&node, table, called_at, &error);
-                Timer::after(delay).await;
+                let elapsed = node.now().since(called_at);
+                Timer::after(delay.saturating_sub(elapsed)).await;
                 delay = (delay * 2).min(MAX_RETRY_DELAY);
             }
         }
@@ -96,13 +96,13 @@
 }
 
 /// Waits for changes and applies them; returns `false` if the table has to be read again.
-async fn follow(node: &Arc<Node>, table: Table) -> Result<bool, Error> {
-    let after = node.state().positions.get(&table).copied();
-    let wait = millis(node.settings.timing.follow_wait_ms);
-    let followed = node
-        .platform
-        .follow(table, after.unwrap_or_default(), wait)
-        .await;
+///
+/// `reachable` is whether the store answered the last call.
+async fn follow(node: &Arc<Node>, table: Table, reachable: bool) -> Result<bool, Error> {
+    let after = node.state().as_of(table);
+    let window = batch_window(node, table);
+    let poll = node.settings.timing.polls(table).next(reachable, window);
+    let followed = node.platform.follow(table, after, poll).await;
     node.metrics.record_store_call("follow", followed.is_ok());
     match followed? {
         Changes::Rows(snapshot) => {
@@ -112,7 +112,7 @@
                 node.wake_planner();
             }
             if has_changes && !busy {
-                Timer::after(batch_window(node, table)).await;
+                Timer::after(window).await;
             }
             Ok(true)
         }
@@ -126,7 +126,7 @@
 /// Returns the delay of the next read of changes; it grows with the number of entries that query
 /// the store.
 fn batch_window(node: &Arc<Node>, table: Table) -> Duration {
-    match table {
+    let window = match table {
         Table::Instances => {
             let entries = node.state().position().entries;
             let entries = u32::try_from(entries).unwrap_or(u32::MAX);
@@ -135,7 +135,8 @@
                 .min(MAX_BATCH_WINDOW)
         }
         Table::Operators | Table::Entries | Table::Domains => Duration::ZERO,
-    }
+    };
+    window.min(node.settings.timing.polls(table).max_delay())
 }
 
 /// Applies changed rows; returns whether a group of an owned domain is being formed or
