perf: leave a poll's answer 0.4 s after its hold, not the timeout of other calls

A held call that is a little late is sent again unheld, with the whole bound as its timeout, so a slow store is no reason for the longer wait: the hold is 1.3 s instead of 1.0 s.

--- a/crates/cyclamen-gateway/src/platform/poll.rs
+++ b/crates/cyclamen-gateway/src/platform/poll.rs
@@ -5,14 +5,16 @@
 /// The part of the time within which a change has to be known that is left for the retry of a call
 /// that was not answered.
 const RETRY_MARGIN: Duration = Duration::from_millis(300);
+/// The time after the hold of a poll within which its answer is awaited.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
 /// The shortest hold of a poll after one that was answered.
 const MIN_HOLD: Duration = Duration::from_millis(200);
 
 /// The duration of a call for the changes of a table.
 ///
 /// A call that the store holds open cannot be told from one that it will never answer. So no call
-/// takes longer than a change may remain unknown, and after a failure the store is asked to
-/// answer at once.
+/// takes longer than a change may remain unknown. After a failure the store is asked to answer at
+/// once, and a slow one has the whole time to do so.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Poll {
     /// How long the store may hold the call open until there are changes.
@@ -35,16 +37,16 @@
 impl Options {
     /// Returns the shortest freshness that these options can keep.
     pub fn min_freshness(timeout: Duration) -> Duration {
-        timeout + MIN_HOLD + RETRY_MARGIN
+        timeout.max(MIN_HOLD + ANSWER_TIME) + RETRY_MARGIN
     }
 
     /// Returns the next poll, which begins `delay` after the answer to the last one if that was
     /// answered.
     pub fn next(&self, was_answered: bool, delay: Duration) -> Poll {
         let timeout = self.freshness.saturating_sub(delay + RETRY_MARGIN);
-        let timeout = timeout.max(self.timeout + MIN_HOLD);
+        let timeout = timeout.max(self.timeout).max(MIN_HOLD + ANSWER_TIME);
         let hold = if was_answered {
-            self.max_hold.min(timeout - self.timeout)
+            self.max_hold.min(timeout - ANSWER_TIME)
         } else {
             Duration::ZERO
         };
--- a/crates/cyclamen-gateway/src/settings.rs
+++ b/crates/cyclamen-gateway/src/settings.rs
@@ -179,12 +179,12 @@
             ),
             (
                 "timing.operators_freshness_ms",
-                "is less than timing.store_timeout_ms and 500 ms",
+                "is less than 900 ms, or than timing.store_timeout_ms and 300 ms",
                 timing.operators_freshness_ms < min_freshness_ms,
             ),
             (
                 "timing.instances_freshness_ms",
-                "is less than timing.store_timeout_ms and 500 ms",
+                "is less than 900 ms, or than timing.store_timeout_ms and 300 ms",
                 timing.instances_freshness_ms < min_freshness_ms,
             ),
             ("timing.news_every_ms", "is zero", timing.news_every_ms == 0),
