fix: discard idle connections after a call that timed out

After a moment in which the store was silent, or its connections were lost without a reset, a gateway's next call took another kept connection, which was silent as well: changes were in force after up to 9.6 s, twice the time of a poll. Leases and the own interface use the same client.

The pool is replaced when a call over it times out; calls under way keep theirs.

--- a/crates/cyclamen-http/src/client.rs
+++ b/crates/cyclamen-http/src/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client whose calls have a timeout.
 
 use std::future::Future;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use serde::Serialize;
@@ -95,25 +96,61 @@
 }
 
 /// An HTTP client.
+///
+/// Kept connections may go silent without closing, most often all at once. A call over a kept
+/// connection that times out therefore discards all that are idle.
 #[derive(Debug, Clone)]
 pub struct Client {
-    pooled: trillium_client::Client,
+    /// The client with the current pool of kept connections.
+    pooled: Arc<Mutex<Pooled>>,
     unpooled: trillium_client::Client,
+    dialer: Dialer,
+}
+
+/// A client with a pool of kept connections.
+#[derive(Debug, Clone)]
+struct Pooled {
+    client: trillium_client::Client,
+    /// The number of pools discarded before this one.
+    generation: u64,
 }
 
 impl Client {
     /// Creates a client with its own connection pool.
     pub fn new(options: Options) -> Self {
-        let client = trillium_client::Client::new(Dialer::new(options.connect_timeout));
+        let dialer = Dialer::new(options.connect_timeout);
+        let client = trillium_client::Client::new(dialer);
         Self {
             unpooled: client.clone().without_keepalive(),
-            pooled: client,
+            pooled: Arc::new(Mutex::new(Pooled {
+                client,
+                generation: 0,
+            })),
+            dialer,
+        }
+    }
+
+    fn pooled(&self) -> MutexGuard<'_, Pooled> {
+        self.pooled.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the pool of this generation, unless another call has done so.
+    fn discard_pool(&self, generation: u64) {
+        let mut pooled = self.pooled();
+        if pooled.generation == generation {
+            pooled.client = trillium_client::Client::new(self.dialer);
+            pooled.generation += 1;
         }
     }
 
     /// Makes an idempotent call over a pooled connection if one is idle.
     pub async fn call(&self, request: Request<'_>) -> Result<Response, Error> {
-        send(&self.pooled, request).await
+        let Pooled { client, generation } = self.pooled().clone();
+        let result = send(&client, request).await;
+        if matches!(result, Err(Error::TimedOut)) {
+            self.discard_pool(generation);
+        }
+        result
     }
 
     /// Makes a call over a new connection that is not reused.
--- a/crates/cyclamen-http/tests/client.rs
+++ b/crates/cyclamen-http/tests/client.rs
@@ -230,3 +230,57 @@
     assert!(start.elapsed() < TIMEOUT / 2, "{:?}", start.elapsed());
     server.assert_closed();
 }
+
+/// Guards against a call after a timeout that takes another connection that is silent as well.
+#[test]
+fn after_a_timeout_no_kept_connection_is_used() {
+    const KEPT: usize = 4;
+    let connections = Arc::new(AtomicUsize::new(0));
+    let is_silent = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let (opened, silent) = (connections.clone(), is_silent.clone());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}/", listener.local_addr().unwrap());
+    std::thread::spawn(move || {
+        while let Ok((stream, _)) = listener.accept() {
+            let number = opened.fetch_add(1, Ordering::SeqCst);
+            let silent = silent.clone();
+            std::thread::spawn(move || answer_until_silent(stream, number < KEPT, &silent));
+        }
+    });
+    let client = Client::new(Options::default());
+    let call = || {
+        let timeout = Duration::from_millis(300);
+        let request = Request {
+            url: &url,
+            timeout,
+            ..Request::default()
+        };
+        client.call(request)
+    };
+    smol::block_on(async {
+        let calls = futures::future::join_all((0..KEPT).map(|_| call())).await;
+        assert!(calls.iter().all(Result::is_ok));
+        is_silent.store(true, Ordering::SeqCst);
+        assert!(matches!(call().await, Err(Error::TimedOut)));
+        assert_eq!(call().await.unwrap().status, 200);
+    });
+    assert_eq!(connections.load(Ordering::SeqCst), KEPT + 1);
+}
+
+/// Answers requests on a connection; one that `may_fall_silent` stops without closing it.
+fn answer_until_silent(
+    stream: TcpStream,
+    may_fall_silent: bool,
+    is_silent: &std::sync::atomic::AtomicBool,
+) {
+    let accepted = Arc::default();
+    let mut connection = Connection { stream, accepted };
+    while connection.read_request() {
+        if may_fall_silent && is_silent.load(Ordering::SeqCst) {
+            std::thread::sleep(TIMEOUT);
+        }
+        // Answers late enough that all first calls use a connection each.
+        std::thread::sleep(Duration::from_millis(50));
+        connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+}
