--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -7,7 +7,7 @@
 use cyclamen_directory::service::Service;
 use cyclamen_directory::{Route, Team};
 use cyclamen_dispatch::{Criteria, Dispatch, Outcome};
-use cyclamen_route::containment::{Decision, Fingerprint};
+use cyclamen_route::containment::{Decision, Fingerprint, Part};
 use cyclamen_types::{Time, instance, model, pool};
 use rand::Rng;
 use trillium::{Conn, Headers, KnownHeaderName, Method};
@@ -17,9 +17,14 @@
 use crate::node::Node;
 use crate::platform::Table;
 use crate::tasks;
+use crate::tasks::Victim;
 
 /// Number of failed connections to workers at which a request is refused.
 const MAX_FAILED_CONNECTS: u32 = 3;
+/// Maximum number of parts of a prompt that are considered.
+const MAX_PARTS: usize = 32;
+/// Maximum length of the id of a part, in bytes.
+const MAX_PART_BYTES: usize = 64;
 
 /// A caller's request.
 pub(crate) struct Request {
@@ -29,6 +34,8 @@
     pub(crate) service: Arc<Service>,
     pub(crate) team: Option<Arc<Team>>,
     pub(crate) model: Option<model::Name>,
+    /// The parts of the prompt that other requests may share.
+    pub(crate) parts: Arc<[Part]>,
     /// The number of prompt tokens; zero if the caller does not state it.
     pub(crate) tokens: u64,
     pub(crate) method: Method,
@@ -61,6 +68,7 @@
         let requested = requested.map_or(route.timeout, Duration::from_millis);
         let deadline = arrived_at + requested.min(route.timeout);
         let tokens = header(dialect.tokens).and_then(|text| text.split(',').next()?.parse().ok());
+        let parts = header(dialect.prompt_parts).map_or_else(Vec::new, shared_parts);
         let draw = node.state().rng.random();
         let service = route.target(draw).and_then(|name| catalog.service(name));
         let service = service.ok_or(Refusal::unconfigured())?.clone();
@@ -79,6 +87,7 @@
             id,
             team,
             model,
+            parts: parts.into(),
             tokens: tokens.unwrap_or(0),
             method: conn.method(),
             path: conn.path_and_query().into(),
@@ -186,7 +195,12 @@
     /// Records that a worker, which may have crashed, closed the connection before any part of its
     /// response could be forwarded.
     pub(crate) fn record_disconnect(&self, dispatch: &Dispatch) {
-        tasks::confirm_crash(&self.node, &dispatch.target, &self.id, self.fingerprint());
+        let victim = Victim {
+            id: self.id.clone(),
+            fingerprint: self.fingerprint().clone(),
+            parts: self.parts.clone(),
+        };
+        tasks::confirm_crash(&self.node, &dispatch.target, victim);
     }
 
     /// Records that the request received a complete response, which clears its strikes.
@@ -317,6 +331,18 @@
     }
 }
 
+/// Returns the parts of a prompt that requests may share: all but the last, from their list in a
+/// header.
+fn shared_parts(header: &str) -> Vec<Part> {
+    let mut ids = header.split(',').map(|part| {
+        let id = part.split_once(':').map_or(part, |(id, _)| id);
+        id.trim()
+    });
+    ids.next_back();
+    let ids = ids.filter(|id| !id.is_empty() && id.len() <= MAX_PART_BYTES);
+    ids.take(MAX_PARTS).map(Part::new).collect()
+}
+
 impl Drop for Request {
     fn drop(&mut self) {
         self.finish("caller_gone", 0, None);
--- a/crates/cyclamen-gateway/src/platform/dialect.rs
+++ b/crates/cyclamen-gateway/src/platform/dialect.rs
@@ -19,6 +19,9 @@
     /// The prompt tokens of a request and the maximum tokens of its response, separated by a
     /// comma.
     pub tokens: &'static str,
+    /// The parts of a request's prompt in order, each an id and a number of tokens separated by a
+    /// colon, separated by commas. Requests share parts, but for the last one.
+    pub prompt_parts: &'static str,
     /// The id of the last event that the caller received, which is a number.
     pub last_event_id: &'static str,
     /// The name of the team that holds the caller's key, set by the gateway.
--- a/crates/cyclamen-gateway/src/tasks/crash.rs
+++ b/crates/cyclamen-gateway/src/tasks/crash.rs
@@ -4,44 +4,45 @@
 use std::sync::Arc;
 
 use cyclamen_dispatch::Target;
-use cyclamen_route::containment::{Crash, Fingerprint, Strike};
+use cyclamen_route::containment::{Crash, Fingerprint, Part, Strike};
 use cyclamen_types::group::Fence;
 
 use crate::node::Node;
 use crate::tasks::gossip_now;
 use crate::tasks::probe::{INITIAL_PROBES, responds};
 
-/// Records a strike against a request whose worker closed the connection before any part of its
-/// response could be forwarded, if the worker fails its probes.
-pub(crate) fn confirm(
-    node: &Arc<Node>,
-    target: &Target,
-    request: &Arc<str>,
-    fingerprint: &Fingerprint,
-) {
+/// A request whose worker closed the connection before any part of its response could be
+/// forwarded.
+pub(crate) struct Victim {
+    pub(crate) id: Arc<str>,
+    pub(crate) fingerprint: Fingerprint,
+    /// The parts of its prompt that other requests may share.
+    pub(crate) parts: Arc<[Part]>,
+}
+
+/// Records a strike against a request if its worker fails its probes.
+pub(crate) fn confirm(node: &Arc<Node>, target: &Target, victim: Victim) {
     let Some(crash) = crash(target) else {
         log::warn!(
-            "event=crash_not_counted id={request} instance={} reason=\"no valid domain or group name\"",
+            "event=crash_not_counted id={} instance={} reason=\"no valid domain or group name\"",
+            victim.id,
             target.instance
         );
         return;
     };
-    let fingerprint = fingerprint.clone();
-    let strike = Strike { fingerprint, crash };
     let node = node.clone();
     let target = target.clone();
-    let request = request.clone();
     let confirming = async move {
-        if responds(&node, target.address, INITIAL_PROBES).await {
+        let responds = responds(&node, target.address, INITIAL_PROBES).await;
+        log(&target, &victim, responds);
+        if responds {
             return;
         }
-        log::info!(
-            "event=worker_crashed id={request} instance={} incarnation={} fingerprint={}",
-            target.instance,
-            target.incarnation,
-            strike.fingerprint
-        );
         let now = node.now();
+        let strike = Strike {
+            fingerprint: victim.fingerprint,
+            crash,
+        };
         let is_new = node.state().strikes.record(now, strike);
         if is_new {
             node.metrics.record_crash();
@@ -51,6 +52,24 @@
     smol::spawn(confirming).detach();
 }
 
+/// Logs whether a worker that closed a connection has crashed.
+fn log(target: &Target, victim: &Victim, responds: bool) {
+    let event = if responds {
+        "crash_not_confirmed"
+    } else {
+        "worker_crashed"
+    };
+    let parts: Vec<&str> = victim.parts.iter().map(Part::as_str).collect();
+    log::info!(
+        "event={event} id={} instance={} incarnation={} fingerprint={} parts={}",
+        victim.id,
+        target.instance,
+        target.incarnation,
+        victim.fingerprint,
+        parts.join(",")
+    );
+}
+
 /// Returns the crash of one incarnation of a worker, recorded as a crash of a group that
 /// consists of this worker only; `None` if there are no valid names for it.
 fn crash(target: &Target) -> Option<Crash> {
--- a/crates/cyclamen-route/src/containment.rs
+++ b/crates/cyclamen-route/src/containment.rs
@@ -81,6 +81,36 @@
     }
 }
 
+/// A part of a prompt that several requests may share, by its id.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Part(Arc<str>);
+
+impl Part {
+    /// Creates a part from its id.
+    pub fn new(id: impl Into<Arc<str>>) -> Self {
+        Self(id.into())
+    }
+
+    /// Returns the id.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Part {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for Part {
+    type Err = std::convert::Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Ok(Self::new(text))
+    }
+}
+
 /// One crash of a group.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Crash {
