--- a/crates/cyclamen-entry/src/caller/completion/job.rs
+++ b/crates/cyclamen-entry/src/caller/completion/job.rs
@@ -111,7 +111,7 @@
             .node
             .state()
             .strikes
-            .decide(self.node.now(), &self.fingerprint);
+            .decide(self.node.now(), &self.fingerprint, &[]);
         match decision {
             Decision::Allow => self.request.suspect = false,
             Decision::Isolate => self.request.suspect = true,
@@ -222,6 +222,7 @@
                 group: admitted.grant.group.clone(),
                 fence: admitted.grant.fence,
             },
+            parts: Arc::default(),
         };
         let now = self.node.now();
         let is_new = self.node.state().strikes.record(now, strike);
--- a/crates/cyclamen-entry/src/tasks/gossip.rs
+++ b/crates/cyclamen-entry/src/tasks/gossip.rs
@@ -92,6 +92,7 @@
         operators_as_of: as_of,
         summaries: summaries(&state),
         strikes: state.strikes.to_gossip(now, true, MAX_GOSSIP_ITEMS),
+        answers: Vec::new(),
         delta: delta.unwrap_or_default(),
         loads: Vec::new(),
         suspected: Vec::new(),
--- a/crates/cyclamen-gateway/src/frontend.rs
+++ b/crates/cyclamen-gateway/src/frontend.rs
@@ -66,8 +66,10 @@
         let state = self.0.state();
         let targets = state.target_counts();
         let ages = FOLLOWED_TABLES.map(|table| (table, state.table_age(now, table)));
+        let contained = state.strikes.contained().len();
         drop(state);
         self.0.metrics.record_targets(&targets);
+        self.0.metrics.record_contained_parts(contained);
         for (table, age) in ages {
             self.0.metrics.record_table_age(table, age);
         }
--- a/crates/cyclamen-gateway/src/frontend/buffered.rs
+++ b/crates/cyclamen-gateway/src/frontend/buffered.rs
@@ -12,7 +12,7 @@
 
 use crate::frontend::refusal::Refusal;
 use crate::frontend::request::Request;
-use crate::frontend::response::{Class, classify, record_notices};
+use crate::frontend::response::{Class, classify, is_success, record_notices};
 use crate::frontend::send::send;
 use crate::tasks;
 
@@ -68,7 +68,7 @@
         let dispatch = request.choose()?;
         match attempt(request, &dispatch).await {
             Ok(response) => {
-                request.record_completion();
+                request.record_completion(is_success(response.status));
                 return Ok((response, dispatch));
             }
             Err(Failure::NotSent) => {
--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -7,7 +7,7 @@
 use cyclamen_directory::service::Service;
 use cyclamen_directory::{Route, Team};
 use cyclamen_dispatch::{Criteria, Dispatch, Outcome};
-use cyclamen_route::containment::{Decision, Fingerprint, Part};
+use cyclamen_route::containment::{Answer, Decision, Fingerprint, Part};
 use cyclamen_types::{Time, instance, model, pool};
 use rand::Rng;
 use trillium::{Conn, Headers, KnownHeaderName, Method};
@@ -166,10 +166,10 @@
         let fingerprint = self.fingerprint();
         let now = self.node.now();
         let state = self.node.state();
-        if state.strikes.decide(now, fingerprint) != Decision::Refuse {
+        if state.strikes.decide(now, fingerprint, &self.parts) != Decision::Refuse {
             return Ok(());
         }
-        let expires_in = state.strikes.expires_in(now, fingerprint);
+        let expires_in = state.strikes.expires_in(now, fingerprint, &self.parts);
         log::warn!(
             "event=request_contained id={} fingerprint={fingerprint} lasts_ms={}",
             self.id,
@@ -203,9 +203,18 @@
         tasks::confirm_crash(&self.node, &dispatch.target, victim);
     }
 
-    /// Records that the request received a complete response, which clears its strikes.
-    pub(crate) fn record_completion(&self) {
+    /// Records that the request received a complete response, which clears its strikes. A response
+    /// with which it was answered also clears the parts of its prompt.
+    pub(crate) fn record_completion(&self, was_answered: bool) {
+        let now = self.node.now();
         let mut state = self.node.state();
+        if was_answered {
+            let answer = |part: &Part| Answer {
+                part: part.clone(),
+                age: Duration::ZERO,
+            };
+            state.record_answers(now, self.parts.iter().map(answer));
+        }
         if !state.strikes.is_empty() {
             state.strikes.record_completion(self.fingerprint());
         }
--- a/crates/cyclamen-gateway/src/frontend/response.rs
+++ b/crates/cyclamen-gateway/src/frontend/response.rs
@@ -25,6 +25,11 @@
 /// Statuses from which callers conclude that a request has not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
+/// Returns whether a status says that the request was answered.
+pub(crate) fn is_success(status: u16) -> bool {
+    (200..300).contains(&status)
+}
+
 /// Records what the head of a response says of the worker, whatever the response is: that it is
 /// leaving, or that it wants no requests from this entry for a while.
 pub(crate) fn record_notices(request: &Request, dispatch: &Dispatch, response: &StreamingResponse) {
--- a/crates/cyclamen-gateway/src/frontend/stream.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream.rs
@@ -17,6 +17,7 @@
 
 use crate::frontend::refusal::Refusal;
 use crate::frontend::request::Request;
+use crate::frontend::response::is_success;
 use crate::settings::millis;
 use crate::tasks;
 
@@ -162,12 +163,11 @@
                         Outcome::Complete,
                         upstream.started,
                     );
-                    self.request.record_completion();
-                    self.request.finish(
-                        "answered",
-                        upstream.response.status,
-                        Some(&upstream.dispatch),
-                    );
+                    let status = upstream.response.status;
+                    let was_answered = upstream.started && is_success(status);
+                    self.request.record_completion(was_answered);
+                    self.request
+                        .finish("answered", status, Some(&upstream.dispatch));
                     return Ok(Part::End);
                 }
                 Ok(part) => {
--- a/crates/cyclamen-gateway/src/metrics.rs
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -27,6 +27,7 @@
     crashes: Counter<u64>,
     targets: Gauge<u64>,
     table_age: Gauge<f64>,
+    contained_parts: Gauge<u64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
 }
@@ -52,6 +53,7 @@
             store_calls: meter.u64_counter("store_calls").build(),
             crashes: meter.u64_counter("worker_crashes").build(),
             targets: meter.u64_gauge("targets").build(),
+            contained_parts: meter.u64_gauge("contained_parts").build(),
             table_age: meter.f64_gauge("table_age").with_unit("s").build(),
             first_byte: latency_histogram("first_byte"),
             duration: latency_histogram("request_duration"),
@@ -117,6 +119,11 @@
         self.table_age.record(age.as_secs_f64(), &labels);
     }
 
+    /// Records how many parts of prompts are contained.
+    pub(crate) fn record_contained_parts(&self, count: usize) {
+        self.contained_parts.record(count as u64, &[]);
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> String {
         let encoder = prometheus::TextEncoder::new();
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -7,6 +7,7 @@
 use cyclamen_directory::Instance;
 use cyclamen_dispatch::Target;
 use cyclamen_replica::Start;
+use cyclamen_route::containment::{Answer, Strike, Verdict};
 use cyclamen_types::{Time, entry};
 
 use crate::node::State;
@@ -317,11 +318,36 @@
         entries.map(|entry| entry.instance.clone()).collect()
     }
 
-    /// Removes suspicions that were not confirmed in time, and instances that were not listed
-    /// again in time.
+    /// Records a crash of a worker during a request; returns whether it is new.
+    pub(crate) fn record_strike(&mut self, now: Time, strike: Strike) -> bool {
+        let is_new = self.strikes.record(now, strike);
+        self.log_verdicts();
+        is_new
+    }
+
+    /// Records that requests with these parts in their prompts were answered.
+    pub(crate) fn record_answers(&mut self, now: Time, answers: impl IntoIterator<Item = Answer>) {
+        self.strikes.record_answers(now, answers);
+        self.log_verdicts();
+    }
+
+    /// Logs which parts of prompts are contained or released since the last call.
+    fn log_verdicts(&mut self) {
+        for verdict in self.strikes.take_verdicts() {
+            match verdict {
+                Verdict::Contained(part) => log::warn!("event=part_contained part={part}"),
+                Verdict::Released(part) => log::info!("event=part_released part={part}"),
+            }
+        }
+    }
+
+    /// Removes suspicions that were not confirmed in time, instances that were not listed again in
+    /// time, and containments that have expired.
     pub(crate) fn remove_expired(&mut self, now: Time) {
         let restored = self.detector.expire(now);
         let departed = self.registry.expire(now);
+        self.strikes.release_expired(now);
+        self.log_verdicts();
         if departed || restored {
             self.refresh_targets(now);
         }
--- a/crates/cyclamen-gateway/src/tasks/crash.rs
+++ b/crates/cyclamen-gateway/src/tasks/crash.rs
@@ -42,8 +42,9 @@
         let strike = Strike {
             fingerprint: victim.fingerprint,
             crash,
+            parts: victim.parts,
         };
-        let is_new = node.state().strikes.record(now, strike);
+        let is_new = node.state().record_strike(now, strike);
         if is_new {
             node.metrics.record_crash();
             gossip_now(&node);
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -177,8 +177,9 @@
     state
         .dispatcher
         .record_peer_loads(now, sender.as_str(), received.loads);
+    state.record_answers(now, received.answers);
     for strike in received.strikes {
-        state.strikes.record(now, strike);
+        state.record_strike(now, strike);
     }
     let rows = received.delta.rows.into_iter();
     let rows = rows.filter(|row| !state.rows.may_be_forgotten(row));
@@ -249,12 +250,14 @@
 fn message_without_rows(state: &State, now: Time, peer: Option<&Peer>) -> Gossip {
     let seen_at = peer.and_then(|peer| peer.incarnation_seen_at);
     let is_new = seen_at.is_none_or(|at| now.since(at) < NEW_ENTRY_DURATION);
+    let strikes = state.strikes.to_gossip(now, is_new, MAX_STRIKES);
     Gossip {
         sender: state.local.clone(),
         as_of: state.as_of(Table::Instances),
         operators_as_of: state.operators_as_of(),
         summaries: Vec::new(),
-        strikes: state.strikes.to_gossip(now, is_new, MAX_STRIKES),
+        answers: state.strikes.answers_to_gossip(now, &strikes),
+        strikes,
         delta: Delta::default(),
         loads: state.dispatcher.loads(),
         suspected: state.detector.local_suspicions(now).cloned().collect(),
--- a/crates/cyclamen-peer/schema/peer.capnp
+++ b/crates/cyclamen-peer/schema/peer.capnp
@@ -19,6 +19,13 @@
   domain @1 :Text;
   group @2 :Text;
   fence @3 :UInt64;
+  parts @4 :List(Text);
+  # The parts of the prompt that other requests may share.
+}
+
+struct Answered {
+  part @0 :Text;
+  ageMs @1 :UInt64;
 }
 
 struct Row {
@@ -60,6 +67,8 @@
   # Starts of workers that do not answer the sender.
   operatorsAsOf @7 :UInt64;
   # The revision up to which the sender knows what operators wrote.
+  answered @8 :List(Answered);
+  # When requests with the parts of these strikes were last answered.
 }
 
 struct Ask {
--- a/crates/cyclamen-peer/src/decode.rs
+++ b/crates/cyclamen-peer/src/decode.rs
@@ -11,7 +11,7 @@
 use cyclamen_domain::{Ending, Grant, Owner};
 use cyclamen_replica::Start;
 use cyclamen_route::balancer::Summary;
-use cyclamen_route::containment::{Crash, Strike};
+use cyclamen_route::containment::{Answer, Crash, Part, Strike};
 use cyclamen_tables::routes::Priority;
 use cyclamen_types::{entry, group, instance};
 
@@ -46,7 +46,10 @@
 }
 
 fn strike(from: wire::strike::Reader<'_>) -> Result<Strike, Error> {
+    let parts = from.get_parts()?.iter();
+    let parts = parts.map(|part| Ok(Part::new(part?.to_str()?)));
     Ok(Strike {
+        parts: parts.collect::<Result<Vec<_>, Error>>()?.into(),
         fingerprint: text(from.get_fingerprint()?)?,
         crash: Crash {
             domain: text(from.get_domain()?)?,
@@ -56,6 +59,13 @@
     })
 }
 
+fn answer(from: wire::answered::Reader<'_>) -> Result<Answer, Error> {
+    Ok(Answer {
+        part: Part::new(from.get_part()?.to_str()?),
+        age: Duration::from_millis(from.get_age_ms()),
+    })
+}
+
 fn row(from: wire::row::Reader<'_>) -> Result<Row, Error> {
     let value = from.get_value()?.to_str()?;
     Ok(Row {
@@ -104,6 +114,11 @@
             .iter()
             .map(strike)
             .collect::<Result<_, _>>()?,
+        answers: from
+            .get_answered()?
+            .iter()
+            .map(answer)
+            .collect::<Result<_, _>>()?,
         delta: delta(from.get_delta()?)?,
         loads: from
             .get_loads()?
--- a/crates/cyclamen-peer/src/encode.rs
+++ b/crates/cyclamen-peer/src/encode.rs
@@ -7,7 +7,7 @@
 use cyclamen_dispatch::Load;
 use cyclamen_domain::{Ending, Grant, Owner};
 use cyclamen_replica::Start;
-use cyclamen_route::containment::Strike;
+use cyclamen_route::containment::{Answer, Strike};
 use cyclamen_tables::routes::Priority;
 
 use crate::message::{
@@ -41,6 +41,15 @@
     to.set_domain(strike.crash.domain.as_str());
     to.set_group(strike.crash.group.as_str());
     to.set_fence(strike.crash.fence.0);
+    let mut parts = to.init_parts(count(strike.parts.len()));
+    for (i, part) in (0..).zip(strike.parts.iter()) {
+        parts.set(i, part.as_str());
+    }
+}
+
+fn answer(mut to: wire::answered::Builder<'_>, answer: &Answer) {
+    to.set_part(answer.part.as_str());
+    to.set_age_ms(millis(answer.age));
 }
 
 fn row(mut to: wire::row::Builder<'_>, row: &Row) {
@@ -83,6 +92,10 @@
     for (i, each) in (0..).zip(&gossip.strikes) {
         strike(strikes.reborrow().get(i), each);
     }
+    let mut answers = to.reborrow().init_answered(count(gossip.answers.len()));
+    for (i, each) in (0..).zip(&gossip.answers) {
+        answer(answers.reborrow().get(i), each);
+    }
     let mut loads = to.reborrow().init_loads(count(gossip.loads.len()));
     for (i, each) in (0..).zip(&gossip.loads) {
         load(loads.reborrow().get(i), each);
--- a/crates/cyclamen-peer/src/message.rs
+++ b/crates/cyclamen-peer/src/message.rs
@@ -8,7 +8,7 @@
 use cyclamen_domain::{Ending, Grant, Owner};
 use cyclamen_replica::Start;
 use cyclamen_route::balancer::Summary;
-use cyclamen_route::containment::Strike;
+use cyclamen_route::containment::{Answer, Strike};
 use cyclamen_tables::routes::Priority;
 use cyclamen_types::{domain, group, pool, team};
 
@@ -25,6 +25,8 @@
     pub summaries: Vec<PoolSummary>,
     /// The strikes recorded by the sender.
     pub strikes: Vec<Strike>,
+    /// When requests with the parts of these strikes were last answered, as far as the sender knows.
+    pub answers: Vec<Answer>,
     /// Rows that the receiver may lack.
     pub delta: Delta,
     /// The sender's requests in progress on each worker.
--- a/crates/cyclamen-peer/src/peer_capnp.rs
+++ b/crates/cyclamen-peer/src/peer_capnp.rs
@@ -661,11 +661,19 @@
         pub fn get_fence(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
+        #[inline]
+        pub fn get_parts(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -771,6 +779,22 @@
         pub fn set_fence(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
+        #[inline]
+        pub fn get_parts(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_parts(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_parts(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_parts(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -782,52 +806,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(175, 39, 62, 88, 104, 71, 45, 252),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 83, 116, 114, 105, 107),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
             ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -861,6 +892,18 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -868,6 +911,7 @@
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -881,13 +925,248 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,2,4];
         pub(crate) const TYPE_ID: u64 = 0xfc2d_4768_583e_27af;
     }
 }
 
+pub mod answered {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_part(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_part(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_part(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_part(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_part(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_part(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(15, 103, 245, 101, 185, 167, 26, 206),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
+            ::capnp::word(114, 101, 100, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xce1a_a7b9_65f5_670f;
+    }
+}
+
 pub mod row {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2103,11 +2382,19 @@
         pub fn get_operators_as_of(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_answered(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::answered::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_answered(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 7 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2269,6 +2556,22 @@
         pub fn set_operators_as_of(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_answered(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::answered::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_answered(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::answered::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
+        }
+        #[inline]
+        pub fn init_answered(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::answered::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+        }
+        #[inline]
+        pub fn has_answered(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2286,79 +2589,86 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 155] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 175] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(52, 153, 207, 91, 50, 249, 244, 177),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 78, 101, 119, 115, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(238, 160, 2, 162, 185, 8, 188, 205),
@@ -2442,6 +2752,19 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 103, 245, 101, 185, 167, 26, 206),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2453,6 +2776,7 @@
                 5 => <::capnp::struct_list::Owned<crate::peer_capnp::load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::struct_list::Owned<crate::peer_capnp::start::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::struct_list::Owned<crate::peer_capnp::answered::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2466,9 +2790,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,5,7,0,3,2,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,1,4,5,7,0,3,2,6];
         pub(crate) const TYPE_ID: u64 = 0xb1f4_f932_5bcf_9934;
     }
 }
--- /dev/null
+++ b/crates/cyclamen-route/src/containment/parts.rs
@@ -0,0 +1,97 @@
+//! The parts of prompts, and which of them are contained.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cyclamen_types::Time;
+
+use crate::containment::answers::Answers;
+use crate::containment::{Answer, Attribution, Observation, Part};
+
+/// A change of the parts that are contained.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// Requests with this part are refused from now on.
+    Contained(Part),
+    /// Requests with this part are no longer refused.
+    Released(Part),
+}
+
+/// The parts of prompts, and which of them are contained.
+#[derive(Debug, Default)]
+pub(super) struct Parts {
+    /// When requests with each part were last answered.
+    answers: Answers,
+    /// The parts of the prompts of all requests with strikes.
+    suspects: BTreeSet<Part>,
+    attribution: Attribution,
+    /// When the next strike expires.
+    next_expiry: Option<Time>,
+    /// Changes of the contained parts that were not taken yet.
+    verdicts: Vec<Verdict>,
+}
+
+impl Parts {
+    /// Records answers; returns whether crashes have to be attributed again.
+    pub(super) fn record_answers(
+        &mut self,
+        now: Time,
+        answers: impl IntoIterator<Item = Answer>,
+    ) -> bool {
+        let mut is_suspect = false;
+        for Answer { part, age } in answers {
+            self.answers.record(now - age, &part);
+            is_suspect |= self.suspects.contains(&part);
+        }
+        is_suspect
+    }
+
+    /// Returns the last answers to requests with these parts.
+    pub(super) fn answers<'a>(
+        &self,
+        now: Time,
+        parts: impl Iterator<Item = &'a Part>,
+    ) -> Vec<Answer> {
+        let parts: BTreeSet<&Part> = parts.collect();
+        let answers = parts.into_iter().filter_map(|part| {
+            Some(Answer {
+                part: part.clone(),
+                age: now.since(self.answers.last(part)?),
+            })
+        });
+        answers.collect()
+    }
+
+    /// Attributes crashes to parts again, from all strikes that count.
+    pub(super) fn attribute(
+        &mut self,
+        strikes: &[Observation<'_>],
+        limit: usize,
+        lifetime: Duration,
+    ) {
+        let parts = strikes.iter().flat_map(|strike| strike.parts);
+        self.suspects = parts.cloned().collect();
+        let oldest = strikes.iter().map(|strike| strike.recorded_at).min();
+        self.next_expiry = oldest.map(|at| at + lifetime);
+        let attribution = Attribution::of(strikes, self.answers.by_part(), limit);
+        let former = std::mem::replace(&mut self.attribution, attribution).contained;
+        let contained = &self.attribution.contained;
+        let added = contained.difference(&former).cloned();
+        self.verdicts.extend(added.map(Verdict::Contained));
+        let removed = former.difference(contained).cloned();
+        self.verdicts.extend(removed.map(Verdict::Released));
+    }
+
+    /// Returns whether a strike has expired since crashes were last attributed.
+    pub(super) fn is_expired(&self, now: Time) -> bool {
+        self.next_expiry.is_some_and(|at| now > at)
+    }
+
+    pub(super) fn attribution(&self) -> &Attribution {
+        &self.attribution
+    }
+
+    pub(super) fn take_verdicts(&mut self) -> Vec<Verdict> {
+        std::mem::take(&mut self.verdicts)
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-route/src/containment/strikes.rs
@@ -0,0 +1,317 @@
+//! The strikes recorded by an entry.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cyclamen_types::Time;
+
+use crate::containment::parts::Parts;
+use crate::containment::{
+    Answer, Crash, Decision, Fingerprint, Observation, Options, Part, Strike, Verdict,
+};
+
+/// Maximum number of stored strikes; beyond it the oldest are evicted.
+const MAX_STORED_STRIKES: usize = 4_096;
+
+/// The state of a recorded strike.
+#[derive(Debug, Clone)]
+struct Record {
+    recorded_at: Time,
+    /// The parts of the request's prompt that other requests may share.
+    parts: Arc<[Part]>,
+    /// Whether the request has received a complete response since.
+    cleared: bool,
+}
+
+/// The strikes recorded by an entry.
+#[derive(Debug)]
+pub struct Strikes {
+    options: Options,
+    by_fingerprint: BTreeMap<Fingerprint, BTreeMap<Crash, Record>>,
+    crashes: BTreeMap<Crash, Time>,
+    common_cause_crashes: BTreeSet<Crash>,
+    /// The parts of prompts, and which of them are contained.
+    parts: Parts,
+}
+
+impl Strikes {
+    /// Creates an empty set of strikes.
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            by_fingerprint: BTreeMap::new(),
+            crashes: BTreeMap::new(),
+            common_cause_crashes: BTreeSet::new(),
+            parts: Parts::default(),
+        }
+    }
+
+    /// Records a strike seen here or received from another entry; returns whether it is
+    /// new.
+    pub fn record(&mut self, now: Time, strike: Strike) -> bool {
+        self.expire(now);
+        let Strike {
+            fingerprint,
+            crash,
+            parts,
+        } = strike;
+        let records = self.by_fingerprint.entry(fingerprint).or_default();
+        if records.contains_key(&crash) {
+            return false;
+        }
+        let has_parts = !parts.is_empty();
+        let record = Record {
+            recorded_at: now,
+            parts,
+            cleared: false,
+        };
+        records.insert(crash.clone(), record);
+        self.crashes.entry(crash.clone()).or_insert(now);
+        self.exclude_common_cause(now, &crash);
+        if has_parts {
+            self.attribute(now);
+        }
+        true
+    }
+
+    /// Records that requests with these parts in their prompts were answered, here or at another
+    /// entry.
+    pub fn record_answers(&mut self, now: Time, answers: impl IntoIterator<Item = Answer>) {
+        if self.parts.record_answers(now, answers) {
+            self.attribute(now);
+        }
+    }
+
+    /// Returns how long ago requests with the parts of these strikes were last answered; parts with
+    /// which none was answered are omitted.
+    pub fn answers_to_gossip(&self, now: Time, strikes: &[Strike]) -> Vec<Answer> {
+        let parts = strikes.iter().flat_map(|strike| strike.parts.iter());
+        self.parts.answers(now, parts)
+    }
+
+    /// Releases parts whose strikes have expired.
+    pub fn release_expired(&mut self, now: Time) {
+        if self.parts.is_expired(now) {
+            self.attribute(now);
+        }
+    }
+
+    /// Returns the parts that are contained.
+    pub fn contained(&self) -> &BTreeSet<Part> {
+        &self.parts.attribution().contained
+    }
+
+    /// Returns the changes of the contained parts since the last call.
+    pub fn take_verdicts(&mut self) -> Vec<Verdict> {
+        self.parts.take_verdicts()
+    }
+
+    /// Returns strikes that suffice to contain a part, the newest first.
+    pub fn evidence(&self, now: Time, part: &Part) -> Vec<Strike> {
+        let mut evidence: Vec<(Time, Strike)> = Vec::new();
+        for (fingerprint, crash, record) in self.unexpired(now) {
+            let is_new =
+                |(_, s): &(Time, Strike)| s.crash != *crash && s.fingerprint != *fingerprint;
+            if record.parts.contains(part) && evidence.iter().all(is_new) {
+                let strike = Strike {
+                    fingerprint: fingerprint.clone(),
+                    crash: crash.clone(),
+                    parts: [part.clone()].into(),
+                };
+                evidence.push((record.recorded_at, strike));
+            }
+        }
+        evidence.sort_unstable_by_key(|(at, _)| std::cmp::Reverse(*at));
+        let strikes = evidence.into_iter().map(|(_, strike)| strike);
+        strikes.take(self.options.strike_limit).collect()
+    }
+
+    /// Attributes the strikes that count to parts of prompts again.
+    fn attribute(&mut self, now: Time) {
+        let mut parts = std::mem::take(&mut self.parts);
+        let strikes = self.unexpired(now).filter(|(_, _, r)| !r.cleared);
+        let observations: Vec<_> = strikes
+            .map(|(fingerprint, crash, record)| Observation {
+                fingerprint,
+                crash,
+                recorded_at: record.recorded_at,
+                parts: &record.parts,
+            })
+            .collect();
+        let Options {
+            strike_limit,
+            strike_lifetime,
+            ..
+        } = self.options;
+        parts.attribute(&observations, strike_limit, strike_lifetime);
+        self.parts = parts;
+    }
+
+    /// Returns the strikes that have not expired.
+    fn unexpired(&self, now: Time) -> impl Iterator<Item = (&Fingerprint, &Crash, &Record)> {
+        let lifetime = self.options.strike_lifetime;
+        let all = self
+            .by_fingerprint
+            .iter()
+            .flat_map(|(fingerprint, records)| {
+                let records = records.iter();
+                records.map(move |(crash, record)| (fingerprint, crash, record))
+            });
+        all.filter(move |(_, _, record)| now.since(record.recorded_at) <= lifetime)
+    }
+
+    /// Excludes crashes that occurred together in one fabric domain from the strikes that
+    /// count.
+    fn exclude_common_cause(&mut self, now: Time, crash: &Crash) {
+        let window = self.options.common_cause_window;
+        let is_other = |(c, at): &(&Crash, &Time)| {
+            c.domain == crash.domain && c.group != crash.group && now.since(**at) < window
+        };
+        let others: Vec<_> = self
+            .crashes
+            .iter()
+            .filter(is_other)
+            .map(|(c, _)| c.clone())
+            .collect();
+        if !others.is_empty() {
+            self.common_cause_crashes.insert(crash.clone());
+            self.common_cause_crashes.extend(others);
+        }
+    }
+
+    /// Records that a request received a complete response, which clears its strikes.
+    pub fn record_completion(&mut self, fingerprint: &Fingerprint) {
+        let records = self.by_fingerprint.get_mut(fingerprint);
+        for record in records.into_iter().flat_map(BTreeMap::values_mut) {
+            record.cleared = true;
+        }
+    }
+
+    /// Returns whether no strike is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.by_fingerprint.is_empty()
+    }
+
+    /// Decides how a request with these parts in its prompt may run.
+    pub fn decide(&self, now: Time, fingerprint: &Fingerprint, parts: &[Part]) -> Decision {
+        if parts.iter().any(|part| self.contained().contains(part)) {
+            return Decision::Refuse;
+        }
+        match self.active_times(now, fingerprint).count() {
+            0 => Decision::Allow,
+            n if n < self.options.strike_limit => Decision::Isolate,
+            _ => Decision::Refuse,
+        }
+    }
+
+    /// Returns the time until the oldest active strike against a request, or against a contained
+    /// part of its prompt, expires, or zero if there is none.
+    pub fn expires_in(&self, now: Time, fingerprint: &Fingerprint, parts: &[Part]) -> Duration {
+        let contained: Vec<&Part> = parts
+            .iter()
+            .filter(|part| self.contained().contains(part))
+            .collect();
+        let against_parts = self
+            .unexpired(now)
+            .filter(|(_, _, record)| contained.iter().any(|part| record.parts.contains(part)));
+        let against_parts = against_parts.map(|(_, _, record)| record.recorded_at);
+        let oldest = self
+            .active_times(now, fingerprint)
+            .chain(against_parts)
+            .min();
+        oldest.map_or(Duration::ZERO, |at| {
+            (at + self.options.strike_lifetime).since(now)
+        })
+    }
+
+    /// Returns when each active strike against a request was recorded.
+    fn active_times(&self, now: Time, fingerprint: &Fingerprint) -> impl Iterator<Item = Time> {
+        let records = self.by_fingerprint.get(fingerprint);
+        let records = records.into_iter().flatten();
+        let is_active =
+            move |(crash, record): &(&Crash, &Record)| self.is_active(now, crash, record);
+        records
+            .filter(is_active)
+            .map(|(_, record)| record.recorded_at)
+    }
+
+    /// Returns whether a strike counts against its request.
+    fn is_active(&self, now: Time, crash: &Crash, record: &Record) -> bool {
+        let is_unexpired = now.since(record.recorded_at) <= self.options.strike_lifetime;
+        let has_other_cause = self.common_cause_crashes.contains(crash)
+            || self.parts.attribution().explained.contains(crash);
+        is_unexpired && !record.cleared && !has_other_cause
+    }
+
+    /// Returns whether a strike is sent to other entries: it counts against its request or
+    /// against a part of its prompt.
+    fn is_relevant(&self, now: Time, crash: &Crash, record: &Record) -> bool {
+        let is_unexpired = now.since(record.recorded_at) <= self.options.strike_lifetime;
+        let is_unexplained = !self.parts.attribution().explained.contains(crash);
+        let against_part = record
+            .parts
+            .iter()
+            .any(|part| is_unexplained || self.contained().contains(part));
+        let against_part = against_part && is_unexpired && !record.cleared;
+        against_part || self.is_active(now, crash, record)
+    }
+
+    /// Returns the strikes to send to an entry, at most `limit`: those against contained parts
+    /// first, then the newest. A new entry also gets those older than the gossip duration.
+    pub fn to_gossip(&self, now: Time, to_new_entry: bool, limit: usize) -> Vec<Strike> {
+        let gossip_duration = self.options.gossip_duration;
+        let mut selected: Vec<(&Record, &Fingerprint, &Crash)> = Vec::new();
+        for (fingerprint, records) in &self.by_fingerprint {
+            let due = records.iter().filter(|(crash, record)| {
+                let is_recent = now.since(record.recorded_at) <= gossip_duration;
+                (is_recent || to_new_entry) && self.is_relevant(now, crash, record)
+            });
+            selected.extend(due.map(|(crash, record)| (record, fingerprint, crash)));
+        }
+        selected.sort_by_cached_key(|(record, _, _)| {
+            let is_evidence = record.parts.iter().any(|p| self.contained().contains(p));
+            std::cmp::Reverse((is_evidence, record.recorded_at))
+        });
+        let to_strike = |(record, fingerprint, crash): (&Record, &Fingerprint, &Crash)| Strike {
+            fingerprint: fingerprint.clone(),
+            crash: crash.clone(),
+            parts: record.parts.clone(),
+        };
+        selected.into_iter().take(limit).map(to_strike).collect()
+    }
+
+    /// Removes strikes after twice their lifetime. Entries that recorded them later no longer
+    /// send them by then, so that they are not recorded again as new.
+    fn expire(&mut self, now: Time) {
+        let retention = 2 * self.options.strike_lifetime;
+        for records in self.by_fingerprint.values_mut() {
+            records.retain(|_, record| now.since(record.recorded_at) <= retention);
+        }
+        self.by_fingerprint.retain(|_, records| !records.is_empty());
+        self.evict_oldest();
+        self.crashes.retain(|_, at| now.since(*at) <= retention);
+        let crashes = &self.crashes;
+        self.common_cause_crashes
+            .retain(|crash| crashes.contains_key(crash));
+    }
+
+    /// Evicts all strikes of the requests whose last strike is oldest, until fewer than
+    /// [`MAX_STORED_STRIKES`] are left.
+    fn evict_oldest(&mut self) {
+        let mut count: usize = self.by_fingerprint.values().map(BTreeMap::len).sum();
+        while count >= MAX_STORED_STRIKES {
+            let last =
+                |records: &BTreeMap<Crash, Record>| records.values().map(|r| r.recorded_at).max();
+            let oldest = self
+                .by_fingerprint
+                .iter()
+                .min_by_key(|(_, records)| last(records));
+            let Some(oldest) = oldest.map(|(fingerprint, _)| fingerprint.clone()) else {
+                return;
+            };
+            let evicted = self.by_fingerprint.remove(&oldest);
+            count -= evicted.map_or(0, |records| records.len());
+        }
+    }
+}
--- a/crates/cyclamen-route/tests/decisions.rs
+++ b/crates/cyclamen-route/tests/decisions.rs
@@ -184,6 +184,7 @@
             group: group.parse().unwrap(),
             fence: group::Fence(1),
         },
+        parts: [].into(),
     }
 }
 
@@ -197,7 +198,7 @@
             for (second, domain, group) in crashes {
                 strikes.record(at(*second), strike(&request, domain, group));
             }
-            assert_eq!(strikes.decide(at(60), &request), Decision::$decision);
+            assert_eq!(strikes.decide(at(60), &request, &[]), Decision::$decision);
         }
     )*};
 }
@@ -218,11 +219,11 @@
     let request = Fingerprint::of_parts([b"read".as_slice(), b"x"]);
     strikes.record(at(1), strike(&request, "d1", "g1"));
     strikes.record_completion(&request);
-    assert_eq!(strikes.decide(at(2), &request), Decision::Allow);
+    assert_eq!(strikes.decide(at(2), &request, &[]), Decision::Allow);
     assert_eq!(strikes.to_gossip(at(2), true, 9), []);
     assert!(!strikes.record(at(3), strike(&request, "d1", "g1")));
     strikes.record(at(4), strike(&request, "d2", "g2"));
-    assert_eq!(strikes.decide(at(5), &request), Decision::Isolate);
+    assert_eq!(strikes.decide(at(5), &request, &[]), Decision::Isolate);
 }
 
 #[test]
@@ -241,7 +242,7 @@
             }
         }
     }
-    let decisions = entries.map(|e| e.decide(at(60), &request));
+    let decisions = entries.map(|e| e.decide(at(60), &request, &[]));
     assert_eq!(decisions, [Decision::Allow; 2]);
 }
 
@@ -276,10 +277,10 @@
 fn a_strike_expires_after_its_lifetime() {
     let mut strikes = Strikes::new(containment::Options::default());
     let request = Fingerprint::of_parts([b"x".as_slice()]);
-    assert_eq!(strikes.expires_in(at(1), &request), Duration::ZERO);
+    assert_eq!(strikes.expires_in(at(1), &request, &[]), Duration::ZERO);
     strikes.record(at(1), strike(&request, "d1", "g1"));
     assert_eq!(
-        strikes.expires_in(at(601), &request),
+        strikes.expires_in(at(601), &request, &[]),
         Duration::from_secs(3_000)
     );
 }
