fix: keep the evidence against contained parts in the store

What crashes workers was known only in the memory of the entries: after a restart of all of them, requests with the part would crash workers again until three strikes met anew, more often than the rule allows (BUDGET).

The first entry that contains a part writes the strikes that suffice; an entry that starts reads the table once and records them as strikes, so an answer clears them like any others. The row is deleted when the part is released.

--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -10,6 +10,7 @@
 use cyclamen_domain::Owner;
 use cyclamen_lease::Holder;
 use cyclamen_replica::Detector;
+use cyclamen_route::containment::Part;
 use cyclamen_route::{Strikes, containment};
 use cyclamen_types::{Time, entry, instance, pool, zone};
 use rand::rngs::SmallRng;
@@ -63,6 +64,8 @@
     pub(crate) lease_revision: Option<Revision>,
     pub(crate) ownership: Ownership,
     pub(crate) strikes: Strikes,
+    /// The parts of prompts against which the store holds evidence; `None` until it is read.
+    pub(crate) stored_parts: Option<BTreeSet<Part>>,
     pub(crate) rng: SmallRng,
     pub(crate) draining: bool,
     pub(crate) in_progress: u64,
@@ -102,6 +105,7 @@
             lease_revision: None,
             ownership: Ownership::new(lease),
             strikes: Strikes::new(CONTAINMENT),
+            stored_parts: None,
             rng,
             draining: false,
             in_progress: 0,
--- a/crates/cyclamen-gateway/src/platform/store.rs
+++ b/crates/cyclamen-gateway/src/platform/store.rs
@@ -18,6 +18,8 @@
     Entries,
     /// Owners of fabric domains.
     Domains,
+    /// Evidence against contained parts of prompts.
+    Parts,
 }
 
 impl Table {
@@ -28,6 +30,7 @@
             Self::Instances => "instances",
             Self::Entries => "entries",
             Self::Domains => "domains",
+            Self::Parts => "parts",
         }
     }
 }
--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -1,6 +1,7 @@
 //! Tasks that keep the node's state up to date.
 
 mod crash;
+mod evidence;
 mod follow;
 mod gossip;
 mod lease;
@@ -29,6 +30,9 @@
 /// The interval at which expired state is removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The interval at which the evidence in the store is compared with the contained parts.
+const EVIDENCE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Starts all tasks; dropping the returned handles cancels them.
 pub(crate) fn start(node: &Arc<Node>) -> Vec<smol::Task<()>> {
     let timing = node.settings.timing;
@@ -37,6 +41,7 @@
         every!(node, LEASE_CHECK_INTERVAL, lease::step),
         every!(node, OWNERSHIP_CHECK_INTERVAL, ownership::step),
         every!(node, EXPIRY_INTERVAL, expire),
+        every!(node, EVIDENCE_INTERVAL, evidence::step),
         every!(
             node,
             millis(timing.news_every_ms),
--- a/crates/cyclamen-gateway/src/tasks/follow.rs
+++ b/crates/cyclamen-gateway/src/tasks/follow.rs
@@ -134,7 +134,7 @@
                 .saturating_mul(entries)
                 .min(MAX_BATCH_WINDOW)
         }
-        Table::Operators | Table::Entries | Table::Domains => Duration::ZERO,
+        Table::Operators | Table::Entries | Table::Domains | Table::Parts => Duration::ZERO,
     };
     window.min(node.settings.timing.polls(table).max_delay())
 }
