fix: count crashes that come at the beginning of a response

A worker that had sent a first event before it crashed left no strike, so a part that crashes workers a moment later was never contained.

--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -192,8 +192,8 @@
         })
     }
 
-    /// Records that a worker, which may have crashed, closed the connection before any part of its
-    /// response could be forwarded.
+    /// Records that a worker, which may have crashed, closed the connection before its response or
+    /// at the beginning of it.
     pub(crate) fn record_disconnect(&self, dispatch: &Dispatch) {
         let victim = Victim {
             id: self.id.clone(),
--- a/crates/cyclamen-gateway/src/frontend/stream.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream.rs
@@ -88,6 +88,9 @@
 /// probed.
 const FORECAST_SLACK: Duration = Duration::from_millis(100);
 
+/// How long after its first bytes a response counts as beginning.
+const BEGINNING_DURATION: Duration = Duration::from_millis(500);
+
 /// The response stream of the worker that currently runs the request.
 struct Upstream {
     dispatch: Dispatch,
@@ -95,8 +98,21 @@
     events: EventBuffer,
     /// When a complete event was last received; at first, when the response head was received.
     last_event_at: Time,
-    /// Whether any bytes of the body were received.
-    started: bool,
+    /// When the first bytes of the body were received.
+    started_at: Option<Time>,
+}
+
+impl Upstream {
+    fn has_started(&self) -> bool {
+        self.started_at.is_some()
+    }
+
+    /// Returns whether the worker has only begun to answer, so that a crash may be due to the
+    /// request.
+    fn is_beginning(&self, now: Time) -> bool {
+        self.started_at
+            .is_none_or(|at| now.since(at) < BEGINNING_DURATION)
+    }
 }
 
 /// Why a worker's stream ended early.
@@ -121,8 +137,11 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if let Some(upstream) = self.upstream.take() {
-            self.request
-                .record_outcome(&upstream.dispatch, Outcome::Cancelled, upstream.started);
+            self.request.record_outcome(
+                &upstream.dispatch,
+                Outcome::Cancelled,
+                upstream.has_started(),
+            );
         }
     }
 }
@@ -161,10 +180,10 @@
                     self.request.record_outcome(
                         &upstream.dispatch,
                         Outcome::Complete,
-                        upstream.started,
+                        upstream.has_started(),
                     );
                     let status = upstream.response.status;
-                    let was_answered = upstream.started && is_success(status);
+                    let was_answered = upstream.has_started() && is_success(status);
                     self.request.record_completion(was_answered);
                     self.request
                         .finish("answered", status, Some(&upstream.dispatch));
@@ -187,18 +206,14 @@
             Outcome::Failed
         };
         self.request
-            .record_outcome(&upstream.dispatch, outcome, upstream.started);
-        if cause == Interruption::Closed && !upstream.started {
+            .record_outcome(&upstream.dispatch, outcome, upstream.has_started());
+        let now = self.request.node.now();
+        if cause == Interruption::Closed && upstream.is_beginning(now) {
             self.request.record_disconnect(&upstream.dispatch);
         }
         let id = &self.request.id;
         let instance = &upstream.dispatch.target.instance;
-        let silent = self
-            .request
-            .node
-            .now()
-            .since(upstream.last_event_at)
-            .as_millis();
+        let silent = now.since(upstream.last_event_at).as_millis();
         log::info!(
             "event=stream_broken id={id} instance={instance} cause={cause:?} after={:?} silent_ms={silent}",
             self.last_event_id
@@ -263,8 +278,8 @@
             };
             match or(reading, interval).await {
                 Some(Ok(count)) => {
-                    if count > 0 && !upstream.started {
-                        upstream.started = true;
+                    if count > 0 && !upstream.has_started() {
+                        upstream.started_at = Some(self.request.node.now());
                         self.request.record_started(&upstream.dispatch);
                         self.log_first_event(upstream);
                     }
@@ -324,7 +339,7 @@
         {
             return Err(Interruption::GroupLost);
         }
-        if upstream.started || silent >= first_event_probe_delay(&upstream.dispatch) {
+        if upstream.has_started() || silent >= first_event_probe_delay(&upstream.dispatch) {
             tasks::probe_group(node, &upstream.dispatch.target);
         }
         Ok(())
--- a/crates/cyclamen-gateway/src/frontend/stream/connect.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/connect.rs
@@ -141,7 +141,7 @@
                 self.upstream = Some(Upstream {
                     last_event_at: self.request.node.now(),
                     events: EventBuffer::default(),
-                    started: false,
+                    started_at: None,
                     response,
                     dispatch,
                 });
--- a/crates/cyclamen-gateway/src/tasks/crash.rs
+++ b/crates/cyclamen-gateway/src/tasks/crash.rs
@@ -11,8 +11,7 @@
 use crate::tasks::gossip_now;
 use crate::tasks::probe::{INITIAL_PROBES, responds};
 
-/// A request whose worker closed the connection before any part of its response could be
-/// forwarded.
+/// A request whose worker closed the connection before its response or at the beginning of it.
 pub(crate) struct Victim {
     pub(crate) id: Arc<str>,
     pub(crate) fingerprint: Fingerprint,
