fix: take a stream that ends before its first event for broken

A worker that crashes right after the head of a response without a length closes its connection in order, and its stream looked like a complete one without events: callers got 200 and nothing. It would also have counted as an answer that clears a part which crashes workers.

--- a/crates/cyclamen-gateway/src/frontend/stream.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream.rs
@@ -118,7 +118,8 @@
 /// Why a worker's stream ended early.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Interruption {
-    /// The connection failed, the body ended within an event, or an event is too large.
+    /// The connection failed, the body ended within an event or before the first one, or an event is too
+    /// large.
     Closed,
     /// The group lost a member.
     GroupLost,
@@ -254,7 +255,7 @@
                 return Ok(Part::Bytes(bytes));
             }
             if !self.fill(upstream).await? {
-                return if upstream.events.has_partial_event() {
+                return if upstream.events.has_partial_event() || self.lacks_events(upstream) {
                     Err(Interruption::Closed)
                 } else {
                     Ok(Part::End)
@@ -263,6 +264,12 @@
         }
     }
 
+    /// Returns whether a successful response ended before the first event of its stream.
+    fn lacks_events(&self, upstream: &Upstream) -> bool {
+        let has_none = !upstream.has_started() && self.last_event_id.is_none();
+        has_none && is_success(upstream.response.status)
+    }
+
     /// Reads more bytes from a worker; returns whether there were any.
     async fn fill(&mut self, upstream: &mut Upstream) -> Result<bool, Interruption> {
         let mut buffer = [0; READ_BUFFER_BYTES];
