fix: attribute crashes to the messages that requests share, on the own interface too

Every message but the last is a part of the prompt now; a complete response clears its parts, and entries exchange the last answers with the strikes. The limit for parts is an option of its own. Parts are released and logged by a task of both programs.

--- a/crates/cyclamen-entry/src/caller/completion.rs
+++ b/crates/cyclamen-entry/src/caller/completion.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use cyclamen_route::containment::Fingerprint;
+use cyclamen_route::containment::{Fingerprint, Part};
 use serde_json::Value;
 use trillium::{Body, Conn, KnownHeaderName};
 
@@ -37,6 +37,7 @@
     let streamed = body["stream"].as_bool().unwrap_or(false);
     let mut job = Job {
         fingerprint: Fingerprint::of(route.name.as_str(), &bytes),
+        parts: shared_parts(&body),
         request: Request {
             pool: route.pool.clone(),
             team: team.name,
@@ -78,6 +79,16 @@
     Ok((body, model))
 }
 
+/// Returns the messages that other requests may share, as parts of the prompt: all but the last.
+fn shared_parts(body: &Value) -> Arc<[Part]> {
+    let messages = body["messages"].as_array();
+    let shared = messages.and_then(|messages| messages.split_last());
+    let shared = shared.map_or_else(Default::default, |(_, shared)| shared);
+    let content = shared.iter().map(ToString::to_string);
+    let parts = content.map(|content| Part::of_content(content.as_bytes()));
+    parts.collect()
+}
+
 /// Responds with a stream as soon as its first chunk has arrived.
 async fn respond_with_stream(mut job: Job, conn: &mut Conn) -> Result<(), Refusal> {
     let first = conn.cancel_on_disconnect(job.next()).await;
--- a/crates/cyclamen-entry/src/caller/completion/job.rs
+++ b/crates/cyclamen-entry/src/caller/completion/job.rs
@@ -6,7 +6,7 @@
 use cyclamen_domain::Ending;
 use cyclamen_endpoint::{Chunk, NOT_RUN, OUTCOME_HEADER, OpenError, Stream, StreamError, Target};
 use cyclamen_http::Response;
-use cyclamen_route::containment::{Crash, Decision, Fingerprint, Strike};
+use cyclamen_route::containment::{Answer, Crash, Decision, Fingerprint, Part, Strike};
 use cyclamen_tables::Route;
 use cyclamen_types::Time;
 use serde_json::Value;
@@ -26,6 +26,8 @@
     pub(super) body: Value,
     pub(super) request: Request,
     pub(super) fingerprint: Fingerprint,
+    /// The parts of the prompt that other requests may share.
+    pub(super) parts: Arc<[Part]>,
     pub(super) retry: retry::State,
     pub(super) span: Span,
     pub(super) started_at: Time,
@@ -55,6 +57,7 @@
                 Ok(Chunk::End) => {
                     let first_byte = upstream.first_byte.unwrap_or_default();
                     upstream.admitted.end(Ending::Complete(first_byte));
+                    self.record_answer();
                     return Ok(Chunk::End);
                 }
                 Ok(chunk) => {
@@ -68,6 +71,13 @@
         }
     }
 
+    /// Records that the request was answered, which clears the parts of its prompt.
+    fn record_answer(&self) {
+        let answers = self.parts.iter().map(Answer::now);
+        let now = self.node.now();
+        self.node.state().strikes.record_answers(now, answers);
+    }
+
     fn record_first_byte(&self, upstream: &mut Upstream) {
         if upstream.first_byte.is_none() {
             let now = self.node.now();
@@ -107,11 +117,11 @@
     /// Refuses a request that has crashed too many groups, and marks one that has crashed any as
     /// a suspect.
     fn check_containment(&mut self) -> Result<(), Refusal> {
-        let decision = self
-            .node
-            .state()
-            .strikes
-            .decide(self.node.now(), &self.fingerprint, &[]);
+        let decision =
+            self.node
+                .state()
+                .strikes
+                .decide(self.node.now(), &self.fingerprint, &self.parts);
         match decision {
             Decision::Allow => self.request.suspect = false,
             Decision::Isolate => self.request.suspect = true,
@@ -222,7 +232,7 @@
                 group: admitted.grant.group.clone(),
                 fence: admitted.grant.fence,
             },
-            parts: Arc::default(),
+            parts: self.parts.clone(),
         };
         let now = self.node.now();
         let is_new = self.node.state().strikes.record(now, strike);
--- a/crates/cyclamen-entry/src/tasks/gossip.rs
+++ b/crates/cyclamen-entry/src/tasks/gossip.rs
@@ -72,6 +72,7 @@
             state.record_summary(now, &pool_summary);
         }
     }
+    state.strikes.record_answers(now, received.answers);
     for strike in received.strikes {
         state.strikes.record(now, strike);
     }
@@ -86,13 +87,14 @@
     let delta = since
         .filter(|s| *s < as_of)
         .map(|s| state.cache.changes_since(s));
+    let strikes = state.strikes.to_gossip(now, true, MAX_GOSSIP_ITEMS);
     Gossip {
         sender: state.me.clone(),
         as_of,
         operators_as_of: as_of,
         summaries: summaries(&state),
-        strikes: state.strikes.to_gossip(now, true, MAX_GOSSIP_ITEMS),
-        answers: Vec::new(),
+        answers: state.strikes.answers_to_gossip(now, &strikes),
+        strikes,
         delta: delta.unwrap_or_default(),
         loads: Vec::new(),
         suspected: Vec::new(),
--- a/crates/cyclamen-entry/src/tasks/mod.rs
+++ b/crates/cyclamen-entry/src/tasks/mod.rs
@@ -27,6 +27,9 @@
 /// The interval between polls of the queues, for deadlines that have passed.
 const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The interval between checks of the contained parts of prompts.
+const CONTAINMENT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Starts every task; dropping the result cancels them.
 pub(crate) fn start(node: &Arc<Node>) -> Vec<smol::Task<()>> {
     let timing = node.settings.timing;
@@ -39,10 +42,25 @@
         every!(node, millis(timing.probe_every_ms), probe::step),
         every!(node, millis(timing.plan_every_ms), domains::step),
         every!(node, QUEUE_POLL_INTERVAL, poll_queues),
+        every!(node, CONTAINMENT_CHECK_INTERVAL, check_containment),
         smol::spawn(release::run(node.clone())),
     ]
 }
 
+/// Releases parts of prompts whose strikes have expired, and logs which ones are contained or
+/// released.
+async fn check_containment(node: &Arc<Node>) {
+    let now = node.now();
+    let verdicts = {
+        let mut state = node.state();
+        state.strikes.release_expired(now);
+        state.strikes.take_verdicts()
+    };
+    for verdict in verdicts {
+        log::warn!("{verdict}");
+    }
+}
+
 /// Polls the queues of this entry's domains, and sends gossip to the other entries
 /// immediately when a pool of one of these domains starts or stops serving.
 async fn poll_queues(node: &Arc<Node>) {
--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -209,11 +209,7 @@
         let now = self.node.now();
         let mut state = self.node.state();
         if was_answered {
-            let answer = |part: &Part| Answer {
-                part: part.clone(),
-                age: Duration::ZERO,
-            };
-            state.record_answers(now, self.parts.iter().map(answer));
+            state.record_answers(now, self.parts.iter().map(Answer::now));
         }
         if !state.strikes.is_empty() {
             state.strikes.record_completion(self.fingerprint());
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -29,6 +29,7 @@
 /// not attributed to a common cause: the window is zero.
 const CONTAINMENT: containment::Options = containment::Options {
     strike_limit: 3,
+    part_strike_limit: 3,
     common_cause_window: Duration::ZERO,
     strike_lifetime: Duration::from_secs(600),
     gossip_duration: Duration::from_secs(5),
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -7,7 +7,7 @@
 use cyclamen_directory::Instance;
 use cyclamen_dispatch::Target;
 use cyclamen_replica::Start;
-use cyclamen_route::containment::{Answer, Strike, Verdict};
+use cyclamen_route::containment::{Answer, Strike};
 use cyclamen_types::{Time, entry};
 
 use crate::node::State;
@@ -336,10 +336,7 @@
     /// Logs which parts of prompts are contained or released since the last call.
     fn log_verdicts(&mut self) {
         for verdict in self.strikes.take_verdicts() {
-            match verdict {
-                Verdict::Contained(part) => log::warn!("event=part_contained part={part}"),
-                Verdict::Released(part) => log::info!("event=part_released part={part}"),
-            }
+            log::warn!("{verdict}");
         }
     }
 
--- a/crates/cyclamen-route/src/containment.rs
+++ b/crates/cyclamen-route/src/containment.rs
@@ -42,6 +42,11 @@
         Self(id.into())
     }
 
+    /// Creates a part that is identified by its content.
+    pub fn of_content(content: &[u8]) -> Self {
+        Self(fingerprint::digest(content))
+    }
+
     /// Returns the id.
     pub fn as_str(&self) -> &str {
         &self.0
@@ -93,6 +98,16 @@
     pub age: Duration,
 }
 
+impl Answer {
+    /// Creates an answer that was given just now.
+    pub fn now(part: &Part) -> Self {
+        Self {
+            part: part.clone(),
+            age: Duration::ZERO,
+        }
+    }
+}
+
 /// How a request may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
@@ -109,6 +124,8 @@
 pub struct Options {
     /// Number of crashed groups at which a request is refused.
     pub strike_limit: usize,
+    /// Number of crashed groups, under as many requests, at which a part of prompts is contained.
+    pub part_strike_limit: usize,
     /// Crashes of two groups of one domain in less than this time are attributed to a
     /// common cause and do not count.
     pub common_cause_window: Duration,
@@ -122,6 +139,7 @@
     fn default() -> Self {
         Self {
             strike_limit: 2,
+            part_strike_limit: 3,
             common_cause_window: Duration::from_secs(3),
             strike_lifetime: Duration::from_secs(3600),
             gossip_duration: Duration::from_secs(600),
--- a/crates/cyclamen-route/src/containment/fingerprint.rs
+++ b/crates/cyclamen-route/src/containment/fingerprint.rs
@@ -45,15 +45,26 @@
     }
 
     fn from_hasher(hasher: Sha256) -> Self {
-        let digest = hasher.finalize();
-        let digits = digest
-            .iter()
-            .take(FINGERPRINT_BYTES)
-            .map(|b| format!("{b:02x}"));
-        Self(digits.collect::<String>().into())
+        Self(digits(hasher))
     }
 }
 
+/// Returns the digest of some content as text.
+pub(super) fn digest(content: &[u8]) -> Arc<str> {
+    let mut hasher = Sha256::new();
+    hasher.update(content);
+    digits(hasher)
+}
+
+fn digits(hasher: Sha256) -> Arc<str> {
+    let digest = hasher.finalize();
+    let digits = digest
+        .iter()
+        .take(FINGERPRINT_BYTES)
+        .map(|b| format!("{b:02x}"));
+    digits.collect::<String>().into()
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
--- a/crates/cyclamen-route/src/containment/parts.rs
+++ b/crates/cyclamen-route/src/containment/parts.rs
@@ -1,6 +1,7 @@
 //! The parts of prompts, and which of them are contained.
 
 use std::collections::BTreeSet;
+use std::fmt;
 use std::time::Duration;
 
 use cyclamen_types::Time;
@@ -17,6 +18,15 @@
     Released(Part),
 }
 
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Contained(part) => write!(f, "event=part_contained part={part}"),
+            Self::Released(part) => write!(f, "event=part_released part={part}"),
+        }
+    }
+}
+
 /// The parts of prompts, and which of them are contained.
 #[derive(Debug, Default)]
 pub(super) struct Parts {
--- a/crates/cyclamen-route/src/containment/strikes.rs
+++ b/crates/cyclamen-route/src/containment/strikes.rs
@@ -124,7 +124,7 @@
         }
         evidence.sort_unstable_by_key(|(at, _)| std::cmp::Reverse(*at));
         let strikes = evidence.into_iter().map(|(_, strike)| strike);
-        strikes.take(self.options.strike_limit).collect()
+        strikes.take(self.options.part_strike_limit).collect()
     }
 
     /// Attributes the strikes that count to parts of prompts again.
@@ -140,11 +140,11 @@
             })
             .collect();
         let Options {
-            strike_limit,
+            part_strike_limit,
             strike_lifetime,
             ..
         } = self.options;
-        parts.attribute(&observations, strike_limit, strike_lifetime);
+        parts.attribute(&observations, part_strike_limit, strike_lifetime);
         self.parts = parts;
     }
 
--- a/crates/cyclamen-route/tests/containment.rs
+++ b/crates/cyclamen-route/tests/containment.rs
@@ -15,6 +15,7 @@
 
 const OPTIONS: Options = Options {
     strike_limit: 3,
+    part_strike_limit: 3,
     common_cause_window: Duration::ZERO,
     strike_lifetime: Duration::from_secs(600),
     gossip_duration: Duration::from_secs(5),
@@ -46,11 +47,7 @@
 }
 
 fn answers(ids: &[&str]) -> Vec<Answer> {
-    let answer = |part| Answer {
-        part,
-        age: Duration::ZERO,
-    };
-    parts(ids).into_iter().map(answer).collect()
+    parts(ids).iter().map(Answer::now).collect()
 }
 
 /// What an entry learns: a strike at a time, or an answer.
--- a/dev/stand-in/tests/processes.rs
+++ b/dev/stand-in/tests/processes.rs
@@ -317,6 +317,28 @@
     });
 }
 
+/// Guards against counting crashes by the whole request only, when requests share a message.
+#[test]
+fn a_message_that_crashes_engines_is_refused_in_all_requests() {
+    // Three crashes under different requests, and two tries of each.
+    const MAX_CRASHES: u64 = 6;
+    let site = Site::start("message", 3);
+    let message = |text: &str| json!({"role": "user", "content": text});
+    for round in 0..8 {
+        let own = format!("sound {round}");
+        site.wait_until("sound requests are served", || {
+            let messages = json!([message("common"), message(&own)]);
+            site.complete_messages(round % 3, messages, 5).is_ok()
+        });
+        let own = format!("harmful {round}");
+        let messages = json!([message("common"), message("CRASH-ENGINE"), message(&own)]);
+        let harmful = site.complete_messages(round % 3, messages, 5);
+        assert!(harmful.is_err());
+    }
+    let violations = site.violations();
+    assert!(violations.crashes <= MAX_CRASHES, "{violations:?}");
+}
+
 #[test]
 fn bad_requests_are_refused_at_once() {
     let site = Site::start("bad", 1);
--- a/dev/stand-in/tests/site/mod.rs
+++ b/dev/stand-in/tests/site/mod.rs
@@ -261,6 +261,22 @@
         ))
     }
 
+    /// Streams a completion of several messages through an entry and returns the text or the error.
+    pub fn complete_messages(
+        &self,
+        entry: usize,
+        messages: Value,
+        tokens: u64,
+    ) -> Result<String, Value> {
+        smol::block_on(complete_messages(
+            self.http.clone(),
+            self.entries[entry].caller_address,
+            messages,
+            tokens,
+            Arc::default(),
+        ))
+    }
+
     /// Reads from the plain service through an entry.
     pub fn read(&self, entry: usize) -> Option<Response> {
         let request = Request {
@@ -399,10 +415,20 @@
     content: String,
     tokens: u64,
     begun: Arc<AtomicBool>,
+) -> Result<String, Value> {
+    let messages = json!([{"role": "user", "content": content}]);
+    complete_messages(http, address, messages, tokens, begun).await
+}
+
+async fn complete_messages(
+    http: cyclamen_http::Client,
+    address: SocketAddr,
+    messages: Value,
+    tokens: u64,
+    begun: Arc<AtomicBool>,
 ) -> Result<String, Value> {
     let body = json!({
-        "model": "herd-llm", "stream": true, "max_tokens": tokens,
-        "messages": [{"role": "user", "content": content}],
+        "model": "herd-llm", "stream": true, "max_tokens": tokens, "messages": messages,
     });
     let request = Request {
         method: Method::Post,
