refactor: one file a concern in the gateway's frontend, node and stream; attribute once a message

request.rs, updates.rs and stream.rs had grown: containment, suspicions and the upstream of a stream have files of their own, their text unchanged. Strikes of one gossip message are recorded together and attributed once, since a lost zone brings hundreds of them.

--- a/crates/cyclamen-entry/src/tasks/gossip.rs
+++ b/crates/cyclamen-entry/src/tasks/gossip.rs
@@ -73,9 +73,7 @@
         }
     }
     state.strikes.record_answers(now, received.answers);
-    for strike in received.strikes {
-        state.strikes.record(now, strike);
-    }
+    state.strikes.record_all(now, received.strikes);
 }
 
 /// Creates this entry's gossip message, with the rows changed since a revision.
--- a/crates/cyclamen-gateway/src/frontend.rs
+++ b/crates/cyclamen-gateway/src/frontend.rs
@@ -2,6 +2,7 @@
 
 mod buffered;
 mod check;
+mod containment;
 mod refusal;
 mod request;
 mod response;
--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -7,24 +7,19 @@
 use cyclamen_directory::service::Service;
 use cyclamen_directory::{Route, Team};
 use cyclamen_dispatch::{Criteria, Dispatch, Outcome};
-use cyclamen_route::containment::{Answer, Decision, Fingerprint, Part};
+use cyclamen_route::containment::{Fingerprint, Part};
 use cyclamen_types::{Time, instance, model, pool};
 use rand::Rng;
 use trillium::{Conn, Headers, KnownHeaderName, Method};
 
 use crate::frontend::check::{Checked, check, read_body, record_refused_head};
+use crate::frontend::containment::shared_parts;
 use crate::frontend::refusal::Refusal;
 use crate::node::Node;
 use crate::platform::Table;
-use crate::tasks;
-use crate::tasks::Victim;
 
 /// Number of failed connections to workers at which a request is refused.
 const MAX_FAILED_CONNECTS: u32 = 3;
-/// Maximum number of parts of a prompt that are considered.
-const MAX_PARTS: usize = 32;
-/// Maximum length of the id of a part, in bytes.
-const MAX_PART_BYTES: usize = 64;
 
 /// A caller's request.
 pub(crate) struct Request {
@@ -51,7 +46,7 @@
     pub(crate) may_have_run: bool,
     failed_connects: u32,
     finished: bool,
-    fingerprint: OnceLock<Fingerprint>,
+    pub(super) fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Request {
@@ -158,64 +153,6 @@
         })
     }
 
-    /// Refuses a request that crashes workers.
-    fn check_containment(&self) -> Result<(), Refusal> {
-        if self.node.state().strikes.is_empty() {
-            return Ok(());
-        }
-        let fingerprint = self.fingerprint();
-        let now = self.node.now();
-        let state = self.node.state();
-        if state.strikes.decide(now, fingerprint, &self.parts) != Decision::Refuse {
-            return Ok(());
-        }
-        let expires_in = state.strikes.expires_in(now, fingerprint, &self.parts);
-        log::warn!(
-            "event=request_contained id={} fingerprint={fingerprint} lasts_ms={}",
-            self.id,
-            expires_in.as_millis()
-        );
-        Err(Refusal::retry_later("crashes_workers", expires_in))
-    }
-
-    /// Returns the fingerprint of the request's content, which does not depend on its id.
-    fn fingerprint(&self) -> &Fingerprint {
-        self.fingerprint.get_or_init(|| {
-            let team = self.team.as_ref().map_or("", |team| team.name.as_str());
-            Fingerprint::of_parts([
-                self.route.name.as_str().as_bytes(),
-                self.method.as_str().as_bytes(),
-                self.path.as_bytes(),
-                team.as_bytes(),
-                &self.body,
-            ])
-        })
-    }
-
-    /// Records that a worker, which may have crashed, closed the connection before its response or
-    /// at the beginning of it.
-    pub(crate) fn record_disconnect(&self, dispatch: &Dispatch) {
-        let victim = Victim {
-            id: self.id.clone(),
-            fingerprint: self.fingerprint().clone(),
-            parts: self.parts.clone(),
-        };
-        tasks::confirm_crash(&self.node, &dispatch.target, victim);
-    }
-
-    /// Records that the request received a complete response, which clears its strikes. A response
-    /// with which it was answered also clears the parts of its prompt.
-    pub(crate) fn record_completion(&self, was_answered: bool) {
-        let now = self.node.now();
-        let mut state = self.node.state();
-        if was_answered {
-            state.record_answers(now, self.parts.iter().map(Answer::now));
-        }
-        if !state.strikes.is_empty() {
-            state.strikes.record_completion(self.fingerprint());
-        }
-    }
-
     /// Returns the priority of the team, or that of the route if the team has none.
     pub(crate) fn priority(&self) -> u8 {
         let team = self.team.as_ref().and_then(|team| team.priority);
@@ -336,18 +273,6 @@
     }
 }
 
-/// Returns the parts of a prompt that requests may share: all but the last, from their list in a
-/// header.
-fn shared_parts(header: &str) -> Vec<Part> {
-    let mut ids = header.split(',').map(|part| {
-        let id = part.split_once(':').map_or(part, |(id, _)| id);
-        id.trim()
-    });
-    ids.next_back();
-    let ids = ids.filter(|id| !id.is_empty() && id.len() <= MAX_PART_BYTES);
-    ids.take(MAX_PARTS).map(Part::new).collect()
-}
-
 impl Drop for Request {
     fn drop(&mut self) {
         self.finish("caller_gone", 0, None);
--- a/crates/cyclamen-gateway/src/frontend/stream.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream.rs
@@ -1,15 +1,13 @@
 //! Event streams, which are resumed on another worker if one fails.
 
 mod connect;
+mod upstream;
 
 use std::io;
 use std::time::Duration;
 
 use cyclamen_directory::route::Repeat;
 use cyclamen_dispatch::{Dispatch, Outcome};
-use cyclamen_http::StreamingResponse;
-use cyclamen_relay::EventBuffer;
-use cyclamen_types::Time;
 use futures::{AsyncReadExt, TryStreamExt, stream};
 use smol::Timer;
 use smol::future::or;
@@ -18,6 +16,7 @@
 use crate::frontend::refusal::Refusal;
 use crate::frontend::request::Request;
 use crate::frontend::response::is_success;
+use crate::frontend::stream::upstream::{Upstream, first_event_probe_delay};
 use crate::settings::millis;
 use crate::tasks;
 
@@ -84,37 +83,6 @@
     End,
 }
 
-/// The delay of a first event beyond its forecast that is tolerated before the group is
-/// probed.
-const FORECAST_SLACK: Duration = Duration::from_millis(100);
-
-/// How long after its first bytes a response counts as beginning.
-const BEGINNING_DURATION: Duration = Duration::from_millis(500);
-
-/// The response stream of the worker that currently runs the request.
-struct Upstream {
-    dispatch: Dispatch,
-    response: StreamingResponse,
-    events: EventBuffer,
-    /// When a complete event was last received; at first, when the response head was received.
-    last_event_at: Time,
-    /// When the first bytes of the body were received.
-    started_at: Option<Time>,
-}
-
-impl Upstream {
-    fn has_started(&self) -> bool {
-        self.started_at.is_some()
-    }
-
-    /// Returns whether the worker has only begun to answer, so that a crash may be due to the
-    /// request.
-    fn is_beginning(&self, now: Time) -> bool {
-        self.started_at
-            .is_none_or(|at| now.since(at) < BEGINNING_DURATION)
-    }
-}
-
 /// Why a worker's stream ended early.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Interruption {
@@ -352,8 +320,3 @@
         Ok(())
     }
 }
-
-/// Returns the delay of a first event after which the group of its worker is probed.
-fn first_event_probe_delay(dispatch: &Dispatch) -> Duration {
-    dispatch.forecast + FORECAST_SLACK
-}
--- a/crates/cyclamen-gateway/src/frontend/stream/connect.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/connect.rs
@@ -11,9 +11,8 @@
 use crate::frontend::refusal::Refusal;
 use crate::frontend::response::{Class, classify, record_notices};
 use crate::frontend::send::send;
-use crate::frontend::stream::{
-    Head, Part, Relay, SILENCE_CHECK_INTERVAL, Upstream, first_event_probe_delay,
-};
+use crate::frontend::stream::upstream::{Upstream, first_event_probe_delay};
+use crate::frontend::stream::{Head, Part, Relay, SILENCE_CHECK_INTERVAL};
 use crate::settings::millis;
 use crate::tasks;
 
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -1,9 +1,11 @@
 //! The node: the state of this entry, and its clients for calls to others.
 
+mod containment;
 mod history;
 mod ownership;
 mod peers;
 mod state;
+mod suspicions;
 mod targets;
 mod updates;
 
--- /dev/null
+++ b/crates/cyclamen-gateway/src/node/suspicions.rs
@@ -0,0 +1,98 @@
+//! What this entry finds out about workers by itself or hears from other entries.
+
+use std::sync::Arc;
+
+use cyclamen_directory::Instance;
+use cyclamen_dispatch::Target;
+use cyclamen_replica::Start;
+use cyclamen_types::{Time, entry};
+
+use crate::node::State;
+
+impl State {
+    /// Records that a worker failed its probes; returns whether the suspicion is new.
+    pub(crate) fn suspect(&mut self, now: Time, start: &Start) -> bool {
+        let is_new = self.detector.suspect(now, start);
+        if is_new {
+            log::info!(
+                "event=instance_suspected instance={} incarnation={}",
+                start.instance,
+                start.incarnation
+            );
+            self.refresh_targets(now);
+        }
+        is_new
+    }
+
+    /// Records that a worker responded to a probe.
+    pub(crate) fn restore(&mut self, now: Time, start: &Start) {
+        if self.detector.restore(now, start) {
+            log::info!(
+                "event=instance_restored instance={} incarnation={}",
+                start.instance,
+                start.incarnation
+            );
+            self.refresh_targets(now);
+        }
+    }
+
+    /// Records that a worker said in a response that it is leaving: it gets no new requests from
+    /// this entry, whatever the list says of this incarnation. Returns whether that is new.
+    pub(crate) fn record_leaving(&mut self, now: Time, target: &Target) -> bool {
+        let (id, incarnation) = (&target.instance, target.incarnation);
+        let is_new = self.registry.record_leaving(now, id, incarnation);
+        if is_new {
+            log::info!("event=instance_leaving instance={id} incarnation={incarnation}");
+            self.refresh_targets(now);
+        }
+        is_new
+    }
+
+    /// Records that the group that a target heads makes progress on a request: none of its members
+    /// has failed, even if it does not respond to probes in time.
+    pub(crate) fn record_progress(&mut self, now: Time, target: &Target) {
+        let head = self.registry.get(&target.instance);
+        let Some(group) = head.and_then(|head| head.instance.membership.clone()) else {
+            return;
+        };
+        if group.fence != target.fence {
+            return;
+        }
+        let is_member = |start: &&Start| {
+            let worker = self.registry.get(&start.instance);
+            let membership = worker.and_then(|worker| worker.instance.membership.as_ref());
+            membership.is_some_and(|m| m.group == group.group && m.fence == group.fence)
+        };
+        let suspected = self.detector.suspected().filter(is_member);
+        for start in suspected.cloned().collect::<Vec<_>>() {
+            self.restore(now, &start);
+        }
+    }
+
+    /// Records which workers another entry suspects; returns the listed workers to probe now.
+    pub(crate) fn record_suspicions(
+        &mut self,
+        now: Time,
+        entry: &entry::Name,
+        suspected: impl IntoIterator<Item = Start>,
+    ) -> Vec<Arc<Instance>> {
+        let registry = &self.registry;
+        let listed = suspected.into_iter().filter(|start| {
+            let known = registry.get(&start.instance);
+            known.is_some_and(|e| e.instance.incarnation == start.incarnation)
+        });
+        let to_probe = self.detector.record_report(now, entry, listed);
+        if !to_probe.is_empty() {
+            self.refresh_targets(now);
+        }
+        let entries = to_probe
+            .iter()
+            .filter_map(|s| self.registry.get(&s.instance));
+        entries.map(|entry| entry.instance.clone()).collect()
+    }
+
+    /// Returns whether a worker is suspected and should get no new work.
+    pub(crate) fn is_suspected(&self, instance: &Instance) -> bool {
+        self.detector.is_suspected(&Start::from(instance))
+    }
+}
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -5,10 +5,7 @@
 
 use cyclamen_cache::{Key, Revision};
 use cyclamen_directory::Instance;
-use cyclamen_dispatch::Target;
-use cyclamen_replica::Start;
-use cyclamen_route::containment::{Answer, Strike};
-use cyclamen_types::{Time, entry};
+use cyclamen_types::Time;
 
 use crate::node::State;
 use crate::platform::{Platform, Record, Row, Snapshot, Subject, Table};
@@ -239,107 +236,6 @@
         );
     }
 
-    /// Records that a worker failed its probes; returns whether the suspicion is new.
-    pub(crate) fn suspect(&mut self, now: Time, start: &Start) -> bool {
-        let is_new = self.detector.suspect(now, start);
-        if is_new {
-            log::info!(
-                "event=instance_suspected instance={} incarnation={}",
-                start.instance,
-                start.incarnation
-            );
-            self.refresh_targets(now);
-        }
-        is_new
-    }
-
-    /// Records that a worker responded to a probe.
-    pub(crate) fn restore(&mut self, now: Time, start: &Start) {
-        if self.detector.restore(now, start) {
-            log::info!(
-                "event=instance_restored instance={} incarnation={}",
-                start.instance,
-                start.incarnation
-            );
-            self.refresh_targets(now);
-        }
-    }
-
-    /// Records that a worker said in a response that it is leaving: it gets no new requests from
-    /// this entry, whatever the list says of this incarnation. Returns whether that is new.
-    pub(crate) fn record_leaving(&mut self, now: Time, target: &Target) -> bool {
-        let (id, incarnation) = (&target.instance, target.incarnation);
-        let is_new = self.registry.record_leaving(now, id, incarnation);
-        if is_new {
-            log::info!("event=instance_leaving instance={id} incarnation={incarnation}");
-            self.refresh_targets(now);
-        }
-        is_new
-    }
-
-    /// Records that the group that a target heads makes progress on a request: none of its members
-    /// has failed, even if it does not respond to probes in time.
-    pub(crate) fn record_progress(&mut self, now: Time, target: &Target) {
-        let head = self.registry.get(&target.instance);
-        let Some(group) = head.and_then(|head| head.instance.membership.clone()) else {
-            return;
-        };
-        if group.fence != target.fence {
-            return;
-        }
-        let is_member = |start: &&Start| {
-            let worker = self.registry.get(&start.instance);
-            let membership = worker.and_then(|worker| worker.instance.membership.as_ref());
-            membership.is_some_and(|m| m.group == group.group && m.fence == group.fence)
-        };
-        let suspected = self.detector.suspected().filter(is_member);
-        for start in suspected.cloned().collect::<Vec<_>>() {
-            self.restore(now, &start);
-        }
-    }
-
-    /// Records which workers another entry suspects; returns the listed workers to probe now.
-    pub(crate) fn record_suspicions(
-        &mut self,
-        now: Time,
-        entry: &entry::Name,
-        suspected: impl IntoIterator<Item = Start>,
-    ) -> Vec<Arc<Instance>> {
-        let registry = &self.registry;
-        let listed = suspected.into_iter().filter(|start| {
-            let known = registry.get(&start.instance);
-            known.is_some_and(|e| e.instance.incarnation == start.incarnation)
-        });
-        let to_probe = self.detector.record_report(now, entry, listed);
-        if !to_probe.is_empty() {
-            self.refresh_targets(now);
-        }
-        let entries = to_probe
-            .iter()
-            .filter_map(|s| self.registry.get(&s.instance));
-        entries.map(|entry| entry.instance.clone()).collect()
-    }
-
-    /// Records a crash of a worker during a request; returns whether it is new.
-    pub(crate) fn record_strike(&mut self, now: Time, strike: Strike) -> bool {
-        let is_new = self.strikes.record(now, strike);
-        self.log_verdicts();
-        is_new
-    }
-
-    /// Records that requests with these parts in their prompts were answered.
-    pub(crate) fn record_answers(&mut self, now: Time, answers: impl IntoIterator<Item = Answer>) {
-        self.strikes.record_answers(now, answers);
-        self.log_verdicts();
-    }
-
-    /// Logs which parts of prompts are contained or released since the last call.
-    fn log_verdicts(&mut self) {
-        for verdict in self.strikes.take_verdicts() {
-            log::warn!("{verdict}");
-        }
-    }
-
     /// Removes suspicions that were not confirmed in time, instances that were not listed again in
     /// time, and containments that have expired.
     pub(crate) fn remove_expired(&mut self, now: Time) {
@@ -351,9 +247,4 @@
             self.refresh_targets(now);
         }
     }
-
-    /// Returns whether a worker is suspected and should get no new work.
-    pub(crate) fn is_suspected(&self, instance: &Instance) -> bool {
-        self.detector.is_suspected(&Start::from(instance))
-    }
 }
--- a/crates/cyclamen-gateway/src/tasks/crash.rs
+++ b/crates/cyclamen-gateway/src/tasks/crash.rs
@@ -43,7 +43,7 @@
             crash,
             parts: victim.parts,
         };
-        let is_new = node.state().record_strike(now, strike);
+        let is_new = node.state().record_strikes(now, [strike]);
         if is_new {
             node.metrics.record_crash();
             gossip_now(&node);
--- a/crates/cyclamen-gateway/src/tasks/evidence.rs
+++ b/crates/cyclamen-gateway/src/tasks/evidence.rs
@@ -48,9 +48,7 @@
             log::warn!("event=evidence_not_understood key={}", row.key);
             continue;
         };
-        for strike in strikes {
-            state.record_strike(now, strike);
-        }
+        state.record_strikes(now, strikes);
     }
     let keys = snapshot.rows.into_iter().map(|row| Part::new(row.key));
     state.stored_parts = Some(keys.collect());
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -178,9 +178,7 @@
         .dispatcher
         .record_peer_loads(now, sender.as_str(), received.loads);
     state.record_answers(now, received.answers);
-    for strike in received.strikes {
-        state.record_strike(now, strike);
-    }
+    state.record_strikes(now, received.strikes);
     let rows = received.delta.rows.into_iter();
     let rows = rows.filter(|row| !state.rows.may_be_forgotten(row));
     let rows: Vec<Row> = rows.filter_map(row).collect();
--- a/crates/cyclamen-route/src/containment/strikes.rs
+++ b/crates/cyclamen-route/src/containment/strikes.rs
@@ -50,7 +50,28 @@
     /// Records a strike seen here or received from another entry; returns whether it is
     /// new.
     pub fn record(&mut self, now: Time, strike: Strike) -> bool {
+        self.record_all(now, [strike])
+    }
+
+    /// Records strikes seen here or received from another entry; returns whether one is new.
+    pub fn record_all(&mut self, now: Time, strikes: impl IntoIterator<Item = Strike>) -> bool {
         self.expire(now);
+        let mut is_new = false;
+        let mut has_parts = false;
+        for strike in strikes {
+            let strike_has_parts = !strike.parts.is_empty();
+            if self.insert(now, strike) {
+                is_new = true;
+                has_parts |= strike_has_parts;
+            }
+        }
+        if has_parts {
+            self.attribute(now);
+        }
+        is_new
+    }
+
+    fn insert(&mut self, now: Time, strike: Strike) -> bool {
         let Strike {
             fingerprint,
             crash,
@@ -60,7 +81,6 @@
         if records.contains_key(&crash) {
             return false;
         }
-        let has_parts = !parts.is_empty();
         let record = Record {
             recorded_at: now,
             parts,
@@ -69,9 +89,6 @@
         records.insert(crash.clone(), record);
         self.crashes.entry(crash.clone()).or_insert(now);
         self.exclude_common_cause(now, &crash);
-        if has_parts {
-            self.attribute(now);
-        }
         true
     }
 
