fix: evidence of a part suffices for any strikes; answers attribute crashes once

The evidence kept in the store took each crash and request at most once, in the order of fingerprints, and could fall short of the limit where requests crashed several groups; it now takes strikes until both suffice. An answer to a request with a common part recomputed the attribution for as long as its strikes were kept; now only if it clears some.

--- a/crates/cyclamen-route/src/containment/parts.rs
+++ b/crates/cyclamen-route/src/containment/parts.rs
@@ -1,6 +1,6 @@
 //! The parts of prompts, and which of them are contained.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
@@ -32,8 +32,9 @@
 pub(super) struct Parts {
     /// When requests with each part were last answered.
     answers: Answers,
-    /// The parts of the prompts of all requests with strikes.
-    suspects: BTreeSet<Part>,
+    /// The parts of the prompts of all requests with strikes, and when the last strike of each
+    /// was recorded.
+    suspects: BTreeMap<Part, Time>,
     attribution: Attribution,
     /// When the next strike expires.
     next_expiry: Option<Time>,
@@ -48,12 +49,14 @@
         now: Time,
         answers: impl IntoIterator<Item = Answer>,
     ) -> bool {
-        let mut is_suspect = false;
+        let mut clears = false;
         for Answer { part, age } in answers {
+            let struck_at = self.suspects.get(&part).copied();
+            let answered_at = self.answers.last(&part);
+            clears |= struck_at.is_some_and(|at| answered_at.is_none_or(|last| last < at));
             self.answers.record(now - age, &part);
-            is_suspect |= self.suspects.contains(&part);
         }
-        is_suspect
+        clears
     }
 
     /// Returns the last answers to requests with these parts.
@@ -79,8 +82,7 @@
         limit: usize,
         lifetime: Duration,
     ) {
-        let parts = strikes.iter().flat_map(|strike| strike.parts);
-        self.suspects = parts.cloned().collect();
+        self.suspects = struck_parts(strikes);
         let oldest = strikes.iter().map(|strike| strike.recorded_at).min();
         self.next_expiry = oldest.map(|at| at + lifetime);
         let attribution = Attribution::of(strikes, self.answers.by_part(), limit);
@@ -105,3 +107,15 @@
         std::mem::take(&mut self.verdicts)
     }
 }
+
+/// Returns the parts of all strikes, and when the last strike of each was recorded.
+fn struck_parts(strikes: &[Observation<'_>]) -> BTreeMap<Part, Time> {
+    let mut parts: BTreeMap<Part, Time> = BTreeMap::new();
+    for strike in strikes {
+        for part in strike.parts {
+            let last = parts.entry(part.clone()).or_insert(strike.recorded_at);
+            *last = strike.recorded_at.max(*last);
+        }
+    }
+    parts
+}
--- a/crates/cyclamen-route/src/containment/strikes.rs
+++ b/crates/cyclamen-route/src/containment/strikes.rs
@@ -124,24 +124,25 @@
         self.parts.take_verdicts()
     }
 
-    /// Returns strikes that suffice to contain a part, the newest first.
+    /// Returns strikes that suffice to contain a part, the newest first: of enough crashes and
+    /// under enough requests.
     pub fn evidence(&self, now: Time, part: &Part) -> Vec<Strike> {
-        let mut evidence: Vec<(Time, Strike)> = Vec::new();
-        for (fingerprint, crash, record) in self.unexpired(now) {
-            let is_new =
-                |(_, s): &(Time, Strike)| s.crash != *crash && s.fingerprint != *fingerprint;
-            if record.parts.contains(part) && evidence.iter().all(is_new) {
-                let strike = Strike {
-                    fingerprint: fingerprint.clone(),
-                    crash: crash.clone(),
-                    parts: [part.clone()].into(),
-                };
-                evidence.push((record.recorded_at, strike));
-            }
-        }
-        evidence.sort_unstable_by_key(|(at, _)| std::cmp::Reverse(*at));
-        let strikes = evidence.into_iter().map(|(_, strike)| strike);
-        strikes.take(self.options.part_strike_limit).collect()
+        let limit = self.options.part_strike_limit;
+        let strikes = self.unexpired(now);
+        let mut strikes: Vec<_> = strikes.filter(|(.., r)| r.parts.contains(part)).collect();
+        strikes.sort_by_key(|(.., record)| std::cmp::Reverse(record.recorded_at));
+        let (mut crashes, mut requests) = (BTreeSet::new(), BTreeSet::new());
+        strikes.retain(|(fingerprint, crash, _)| {
+            let adds_crash = crashes.len() < limit && crashes.insert(*crash);
+            let adds_request = requests.len() < limit && requests.insert(*fingerprint);
+            adds_crash || adds_request
+        });
+        let to_strike = |(fingerprint, crash, _): (&Fingerprint, &Crash, &Record)| Strike {
+            fingerprint: fingerprint.clone(),
+            crash: crash.clone(),
+            parts: [part.clone()].into(),
+        };
+        strikes.into_iter().map(to_strike).collect()
     }
 
     /// Attributes the strikes that count to parts of prompts again.
--- a/crates/cyclamen-route/tests/containment.rs
+++ b/crates/cyclamen-route/tests/containment.rs
@@ -154,18 +154,26 @@
     assert_eq!(strikes.decide(at(6), &request(50), &[]), Decision::Allow);
 }
 
-#[test]
-fn the_evidence_against_a_part_suffices_to_contain_it_elsewhere() {
-    let mut strikes = Strikes::new(OPTIONS);
-    for number in 1..=5 {
-        strikes.record(at(number as u64), strike(number, number, &["a", "g"]));
-    }
-    let evidence = strikes.evidence(at(10), &Part::new("g"));
-    let mut other = Strikes::new(OPTIONS);
-    for strike in evidence {
-        other.record(at(10), strike);
-    }
-    assert_eq!(other.contained(), strikes.contained());
+macro_rules! evidence {
+    ($($name:ident: [$(($number:expr, $crash:expr)),*];)*) => {$(
+        /// The evidence against a part suffices to contain it at another entry.
+        #[test]
+        fn $name() {
+            let mut strikes = Strikes::new(OPTIONS);
+            let recorded = [$(strike($number, $crash, &["a", "g"])),*];
+            strikes.record_all(at(1), recorded);
+            let guilty: BTreeSet<Part> = parts(&["g"]).into_iter().collect();
+            assert_eq!(*strikes.contained(), guilty);
+            let mut other = Strikes::new(OPTIONS);
+            other.record_all(at(10), strikes.evidence(at(10), &Part::new("g")));
+            assert_eq!(*other.contained(), guilty);
+        }
+    )*};
+}
+
+evidence! {
+    evidence_of_a_crash_for_each_request: [(1, 1), (2, 2), (3, 3), (4, 4), (5, 5)];
+    evidence_of_requests_that_crashed_several_groups: [(1, 1), (1, 2), (2, 1), (3, 1), (3, 3)];
 }
 
 /// The first part of a prompt; one for each caller.
