--- a/crates/cyclamen-route/tests/containment.rs
+++ b/crates/cyclamen-route/tests/containment.rs
@@ -12,6 +12,8 @@
 use cyclamen_types::{Time, group};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 const OPTIONS: Options = Options {
     strike_limit: 3,
@@ -215,6 +217,43 @@
     }
 }
 
+/// Exchanges what two entries of a fleet know, in both directions.
+fn exchange(entries: &mut [Strikes], now: Time, one: usize, other: usize) {
+    for (from, to) in [(one, other), (other, one)] {
+        let sent = entries[from].to_gossip(now, false, 64);
+        let answers = entries[from].answers_to_gossip(now, &sent);
+        entries[to].record_answers(now, answers);
+        entries[to].record_all(now, sent);
+    }
+}
+
+/// In a large fleet each entry gossips with two others at random each 250 ms. Crashes that three
+/// of them saw have to be known to all within the time that the users' sheets give, 3 s.
+#[test]
+fn crashes_are_known_to_hundreds_of_entries_in_time() {
+    const ENTRIES: usize = 300;
+    const PARTNERS: usize = 2;
+    const INTERVAL_MS: u64 = 250;
+    const BOUND_MS: u64 = 3_000;
+    for seed in 0..5 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut entries: Vec<_> = (0..ENTRIES).map(|_| Strikes::new(OPTIONS)).collect();
+        for (number, entry) in entries.iter_mut().take(3).enumerate() {
+            entry.record(at(0), strike(number, number, &["a", "g"]));
+        }
+        for ms in (0..BOUND_MS).step_by(INTERVAL_MS as usize) {
+            for entry in 0..ENTRIES {
+                for _ in 0..PARTNERS {
+                    let other = rng.random_range(0..ENTRIES);
+                    exchange(&mut entries, at(ms), entry, other);
+                }
+            }
+        }
+        let knowing = entries.iter().filter(|e| e.contained().len() == 1);
+        assert_eq!(knowing.count(), ENTRIES, "seed {seed}");
+    }
+}
+
 fn config() -> Config {
     Config {
         cases: 300,
