fix: start with a bound on changes that cannot be kept

A platform that asks to know changes sooner than the timeouts allow would have kept every gateway from starting, since the settings were refused. It is logged at start instead (event=freshness_not_kept); zero is refused. Test: the settings with 100 ms failed before.

--- a/crates/cyclamen-gateway/src/frontend/containment.rs
+++ b/crates/cyclamen-gateway/src/frontend/containment.rs
@@ -6,7 +6,7 @@
 use crate::frontend::refusal::Refusal;
 use crate::frontend::request::Request;
 use crate::tasks;
-use crate::tasks::Victim;
+use crate::tasks::Suspect;
 
 /// Maximum number of parts of a prompt that are considered.
 const MAX_PARTS: usize = 32;
@@ -51,12 +51,12 @@
     /// Records that a worker, which may have crashed, closed the connection before its response or
     /// at the beginning of it.
     pub(crate) fn record_disconnect(&self, dispatch: &Dispatch) {
-        let victim = Victim {
+        let suspect = Suspect {
             id: self.id.clone(),
             fingerprint: self.fingerprint().clone(),
             parts: self.parts.clone(),
         };
-        tasks::confirm_crash(&self.node, &dispatch.target, victim);
+        tasks::confirm_crash(&self.node, &dispatch.target, suspect);
     }
 
     /// Records that the request received a complete response, which clears its strikes. A response
--- a/crates/cyclamen-gateway/src/frontend/stream.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream.rs
@@ -86,8 +86,8 @@
 /// Why a worker's stream ended early.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Interruption {
-    /// The connection failed, the body ended within an event or before the first one, or an event is too
-    /// large.
+    /// The connection failed, the body ended within an event or before the first one, or an event
+    /// is too large.
     Closed,
     /// The group lost a member.
     GroupLost,
--- a/crates/cyclamen-gateway/src/run.rs
+++ b/crates/cyclamen-gateway/src/run.rs
@@ -13,8 +13,8 @@
 use trillium_smol::async_net;
 
 use crate::metrics::Metrics;
-use crate::node::Node;
-use crate::platform::Platform;
+use crate::node::{FOLLOWED_TABLES, Node};
+use crate::platform::{Platform, poll};
 use crate::settings::{Settings, millis};
 use crate::{frontend, tasks};
 
@@ -61,6 +61,7 @@
         "event=started entry={local} version={}",
         env!("CARGO_PKG_VERSION")
     );
+    warn_of_short_freshness(&node);
     Ok(Handle {
         tasks: tasks::start(&node),
         caller_server: serve(caller_listener, frontend::Proxy(node.clone())),
@@ -72,6 +73,22 @@
     })
 }
 
+/// Logs each followed table of which changes cannot be known as soon as the settings ask for.
+fn warn_of_short_freshness(node: &Node) {
+    for table in FOLLOWED_TABLES {
+        let polls = node.settings.timing.polls(table);
+        let shortest = poll::Options::min_freshness(polls.timeout);
+        if polls.freshness < shortest {
+            log::warn!(
+                "event=freshness_not_kept table={} freshness_ms={} shortest_ms={}",
+                table.as_str(),
+                polls.freshness.as_millis(),
+                shortest.as_millis()
+            );
+        }
+    }
+}
+
 fn serve(listener: async_net::TcpListener, handler: impl trillium::Handler) -> ServerHandle {
     trillium_smol::config()
         .without_signals()
--- a/crates/cyclamen-gateway/src/settings.rs
+++ b/crates/cyclamen-gateway/src/settings.rs
@@ -52,7 +52,8 @@
     /// The timeout of a call to the store that is not held open.
     pub store_timeout_ms: u64,
     /// The time within which this instance has to know a change of the operators' tables while
-    /// the store can be reached. It bounds the requests for changes.
+    /// the store can be reached. It bounds the requests for changes; a time too short for their
+    /// timeouts is logged at start and not kept.
     pub operators_freshness_ms: u64,
     /// The same for a change of the list of workers.
     pub instances_freshness_ms: u64,
@@ -145,8 +146,6 @@
         let Self {
             timing, retries, ..
         } = self;
-        let min_freshness = poll::Options::min_freshness(millis(timing.store_timeout_ms));
-        let min_freshness_ms = min_freshness.as_millis() as u64;
         let rules = [
             (
                 "ready_listen",
@@ -181,13 +180,13 @@
             ),
             (
                 "timing.operators_freshness_ms",
-                "is less than 900 ms, or than timing.store_timeout_ms and 300 ms",
-                timing.operators_freshness_ms < min_freshness_ms,
+                "is zero",
+                timing.operators_freshness_ms == 0,
             ),
             (
                 "timing.instances_freshness_ms",
-                "is less than 900 ms, or than timing.store_timeout_ms and 300 ms",
-                timing.instances_freshness_ms < min_freshness_ms,
+                "is zero",
+                timing.instances_freshness_ms == 0,
             ),
             ("timing.news_every_ms", "is zero", timing.news_every_ms == 0),
             (
--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -18,7 +18,7 @@
 use crate::node::Node;
 use crate::settings::millis;
 
-pub(crate) use crash::{Victim, confirm as confirm_crash};
+pub(crate) use crash::{Suspect, confirm as confirm_crash};
 pub(crate) use gossip::{gossip_now, respond as respond_gossip};
 pub(crate) use lease::resign;
 pub(crate) use probe::probe_group;
--- a/crates/cyclamen-gateway/src/tasks/crash.rs
+++ b/crates/cyclamen-gateway/src/tasks/crash.rs
@@ -12,7 +12,7 @@
 use crate::tasks::probe::{INITIAL_PROBES, responds};
 
 /// A request whose worker closed the connection before its response or at the beginning of it.
-pub(crate) struct Victim {
+pub(crate) struct Suspect {
     pub(crate) id: Arc<str>,
     pub(crate) fingerprint: Fingerprint,
     /// The parts of its prompt that other requests may share.
@@ -20,11 +20,11 @@
 }
 
 /// Records a strike against a request if its worker fails its probes.
-pub(crate) fn confirm(node: &Arc<Node>, target: &Target, victim: Victim) {
+pub(crate) fn confirm(node: &Arc<Node>, target: &Target, suspect: Suspect) {
     let Some(crash) = crash(target) else {
         log::warn!(
             "event=crash_not_counted id={} instance={} reason=\"no valid domain or group name\"",
-            victim.id,
+            suspect.id,
             target.instance
         );
         return;
@@ -33,15 +33,15 @@
     let target = target.clone();
     let confirming = async move {
         let responds = responds(&node, target.address, INITIAL_PROBES).await;
-        log(&target, &victim, responds);
+        log(&target, &suspect, responds);
         if responds {
             return;
         }
         let now = node.now();
         let strike = Strike {
-            fingerprint: victim.fingerprint,
+            fingerprint: suspect.fingerprint,
             crash,
-            parts: victim.parts,
+            parts: suspect.parts,
         };
         let is_new = node.state().record_strikes(now, [strike]);
         if is_new {
@@ -53,19 +53,19 @@
 }
 
 /// Logs whether a worker that closed a connection has crashed.
-fn log(target: &Target, victim: &Victim, responds: bool) {
+fn log(target: &Target, suspect: &Suspect, responds: bool) {
     let event = if responds {
         "crash_not_confirmed"
     } else {
         "worker_crashed"
     };
-    let parts: Vec<&str> = victim.parts.iter().map(Part::as_str).collect();
+    let parts: Vec<&str> = suspect.parts.iter().map(Part::as_str).collect();
     log::info!(
         "event={event} id={} instance={} incarnation={} fingerprint={} parts={}",
-        victim.id,
+        suspect.id,
         target.instance,
         target.incarnation,
-        victim.fingerprint,
+        suspect.fingerprint,
         parts.join(",")
     );
 }
--- a/crates/cyclamenpath/tests/gateway_settings.rs
+++ b/crates/cyclamenpath/tests/gateway_settings.rs
@@ -30,10 +30,22 @@
     a_lease_that_cannot_be_kept: "timing", json!({"lease_ms": 1000}) => "timing.lease_ms";
     no_time_between_plans: "timing", json!({"plan_every_ms": 0}) => "timing.plan_every_ms";
     a_drain_without_time: "timing", json!({"drain_limit_ms": 1}) => "timing.drain_limit_ms";
+    no_time_to_learn_of_a_configuration: "timing", json!({"operators_freshness_ms": 0})
+        => "timing.operators_freshness_ms";
+    no_time_to_learn_of_workers: "timing", json!({"instances_freshness_ms": 0})
+        => "timing.instances_freshness_ms";
     more_retries_than_requests: "retries", json!({"ratio": 2.0}) => "retries.ratio";
     no_window_for_retries: "retries", json!({"window_ms": 0}) => "retries.window_ms";
 }
 
+/// Guards against a gateway that does not start because a platform asks for more than it can keep.
+#[test]
+fn a_freshness_that_cannot_be_kept_is_accepted() {
+    let mut settings = settings();
+    settings["timing"] = json!({"operators_freshness_ms": 100});
+    assert!(check("short-freshness", &settings).0);
+}
+
 #[test]
 fn valid_settings_are_accepted() {
     assert!(check("good", &settings()).0);
