fix: fail calls whose server sends interim responses without end

The HTTP library skips them without a limit, so the client's transport counts them and fails after 16 to one request; what follows a final status line isn't scanned.

--- a/crates/cyclamen-http/src/dialer.rs
+++ b/crates/cyclamen-http/src/dialer.rs
@@ -11,6 +11,8 @@
 use trillium_server_common::{Connector, Destination};
 use trillium_smol::ClientConfig;
 
+use crate::transport::Transport;
+
 /// Connects over TCP with a timeout.
 ///
 /// Every connection failure has the kind [`io::ErrorKind::NotConnected`]. No
@@ -41,7 +43,7 @@
 
 impl Connector for Dialer {
     type Runtime = <ClientConfig as Connector>::Runtime;
-    type Transport = <ClientConfig as Connector>::Transport;
+    type Transport = Transport<<ClientConfig as Connector>::Transport>;
     type Udp = <ClientConfig as Connector>::Udp;
 
     fn runtime(&self) -> Self::Runtime {
@@ -49,11 +51,13 @@
     }
 
     async fn connect(&self, url: &Url) -> io::Result<Self::Transport> {
-        self.with_timeout(self.inner.connect(url)).await
+        let connected = self.with_timeout(self.inner.connect(url)).await;
+        connected.map(Transport::new)
     }
 
     async fn connect_to(&self, destination: Destination) -> io::Result<Self::Transport> {
-        self.with_timeout(self.inner.connect_to(destination)).await
+        let connecting = self.inner.connect_to(destination);
+        self.with_timeout(connecting).await.map(Transport::new)
     }
 
     async fn resolve(&self, host: &str, port: u16) -> io::Result<Vec<SocketAddr>> {
--- a/crates/cyclamen-http/src/error.rs
+++ b/crates/cyclamen-http/src/error.rs
@@ -33,6 +33,9 @@
     fn from(error: trillium_http::Error) -> Self {
         match error {
             trillium_http::Error::Io(e) if e.kind() == io::ErrorKind::NotConnected => Self::NotSent,
+            trillium_http::Error::Io(e) if e.kind() == io::ErrorKind::InvalidData => {
+                Self::Malformed
+            }
             trillium_http::Error::Io(_) | trillium_http::Error::Closed => Self::Closed,
             _ => Self::Malformed,
         }
--- a/crates/cyclamen-http/src/lib.rs
+++ b/crates/cyclamen-http/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 mod dialer;
 mod error;
+mod transport;
 
 pub use client::{Client, Options, Request, Response, StreamingResponse};
 pub use error::Error;
--- a/crates/cyclamen-http/tests/client.rs
+++ b/crates/cyclamen-http/tests/client.rs
@@ -179,6 +179,26 @@
     assert_eq!(server.connections.load(Ordering::Relaxed), 1);
 }
 
+/// Guards against counting what is not an interim response, or those to earlier requests.
+#[test]
+fn some_interim_responses_to_each_request_are_skipped() {
+    const INTERIM: &str = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    const SKIPPED: usize = 16;
+    let body = INTERIM.repeat(2 * SKIPPED);
+    let sent = body.clone();
+    let server = Server::start(move |_, connection| {
+        let response = [INTERIM.repeat(SKIPPED).into_bytes(), answer(&sent)].concat();
+        for piece in response.chunks(7) {
+            connection.send(piece);
+        }
+    });
+    let client = client();
+    for _ in 0..3 {
+        assert_eq!(get(&client, &server.url()).unwrap(), body);
+    }
+    assert_eq!(server.connections.load(Ordering::Relaxed), 1);
+}
+
 const ENDLESS_LINE: &[u8] = &[b'x'; 16 << 10];
 
 /// The server sends this without end; the call fails before its timeout.
