--- a/dev/stand-in/src/server.rs
+++ b/dev/stand-in/src/server.rs
@@ -1,6 +1,7 @@
 //! HTTP listeners with one handler each.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use trillium::Handler;
 use trillium_server_common::ServerHandle;
@@ -21,7 +22,7 @@
 
 /// Listens on an address; port zero selects a free port.
 pub fn listen(address: SocketAddr, handler: impl Handler) -> std::io::Result<Server> {
-    let listener = std::net::TcpListener::bind(address)?;
+    let listener = TcpListener::bind(address)?;
     listener.set_nonblocking(true)?;
     let address = listener.local_addr()?;
     let listener: async_net::TcpListener = listener.try_into()?;
@@ -33,6 +34,17 @@
     Ok(Server { address, handle })
 }
 
+/// Returns an address on loopback that no other listener of this process uses.
+///
+/// The port is not reserved, so two calls could return the same one before it is bound; the
+/// host part therefore differs from call to call.
+pub fn free_address() -> std::io::Result<SocketAddr> {
+    static LAST: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = LAST.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let ip = IpAddr::from([127, 1, high, low]);
+    TcpListener::bind((ip, 0))?.local_addr()
+}
+
 /// Reads the body of a request; returns no bytes if reading fails.
 pub async fn read_body(conn: &mut trillium::Conn) -> Vec<u8> {
     conn.request_body().read_bytes().await.unwrap_or_default()
--- a/dev/stand-in/tests/site/mod.rs
+++ b/dev/stand-in/tests/site/mod.rs
@@ -1,10 +1,11 @@
 //! A small site that runs as separate processes on loopback.
 
-use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::fs::File;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use cyclamen_domain::Listing;
@@ -12,7 +13,7 @@
 use cyclamen_platform::instances::List;
 use cyclamen_platform::{Client, Options};
 use cyclamen_stand_in::demo::{self, API_KEY, OPERATOR_TOKEN};
-use cyclamen_stand_in::engine;
+use cyclamen_stand_in::{engine, server};
 use futures::StreamExt;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
@@ -21,20 +22,42 @@
 /// The limit of every wait; longer than any condition takes unless a process hangs.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(90);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// The number of log lines of each process that a failed wait reports.
+const REPORTED_LOG_LINES: usize = 20;
 
 pub struct Process {
     child: Child,
+    log: PathBuf,
 }
 
 impl Process {
-    fn start(binary: &Path, arguments: &[&str]) -> Self {
+    /// Starts a process whose output goes to a file, or to the terminal if `SHOW_LOGS` is set.
+    fn start(binary: &Path, arguments: &[&str], log: PathBuf) -> Self {
+        let (stdout, stderr) = if std::env::var_os("SHOW_LOGS").is_some() {
+            (Stdio::inherit(), Stdio::inherit())
+        } else {
+            let file = File::create(&log).unwrap();
+            (file.try_clone().unwrap().into(), file.into())
+        };
         let child = Command::new(binary)
             .args(arguments)
-            .stdout(logs())
-            .stderr(logs())
+            .stdout(stdout)
+            .stderr(stderr)
             .spawn()
             .unwrap();
-        Self { child }
+        Self { child, log }
+    }
+
+    /// Returns the state of the process and the end of its log.
+    fn report(&self) -> String {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let state = status.lines().find(|line| line.starts_with("State:"));
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let skipped = log.lines().count().saturating_sub(REPORTED_LOG_LINES);
+        let end: Vec<_> = log.lines().skip(skipped).collect();
+        let name = self.log.display();
+        format!("{name} {}\n{}\n", state.unwrap_or_default(), end.join("\n"))
     }
 
     pub fn signal(&self, signal: Signal) {
@@ -59,15 +82,6 @@
     }
 }
 
-/// Returns where processes log to: nowhere, unless `SHOW_LOGS` is set.
-fn logs() -> Stdio {
-    if std::env::var_os("SHOW_LOGS").is_some() {
-        Stdio::inherit()
-    } else {
-        Stdio::null()
-    }
-}
-
 pub struct Entry {
     pub process: Process,
     pub caller_address: SocketAddr,
@@ -81,23 +95,12 @@
     pub service: SocketAddr,
     pub platform: SocketAddr,
     pub http: cyclamen_http::Client,
-    _stand_ins: Vec<Process>,
+    stand_ins: Vec<Process>,
     directory: PathBuf,
 }
 
 pub const ZONES: [&str; 2] = ["sofia-a", "sofia-b"];
 
-/// Returns an address on loopback that no other listener of these tests uses.
-///
-/// The port is not reserved, so two calls could return the same one before it is bound; the
-/// host part therefore differs from call to call.
-fn free_address() -> SocketAddr {
-    static LAST: AtomicU16 = AtomicU16::new(1);
-    let [high, low] = LAST.fetch_add(1, Ordering::Relaxed).to_be_bytes();
-    let ip = IpAddr::from([127, 1, high, low]);
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
-}
-
 fn stand_in() -> PathBuf {
     PathBuf::from(env!("CARGO_BIN_EXE_cyclamenpath-stand-in"))
 }
@@ -111,11 +114,12 @@
     pub fn start(name: &str, entries: usize) -> Self {
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&directory).unwrap();
-        let platform = free_address();
+        let platform = server::free_address().unwrap();
         let platform_address = platform.to_string();
         let mut stand_ins = vec![Process::start(
             &stand_in(),
             &["platform", "--listen", &platform_address],
+            directory.join("platform.log"),
         )];
         stand_ins.push(Process::start(
             &stand_in(),
@@ -134,6 +138,7 @@
                 "--instance",
                 "registry-1",
             ],
+            directory.join("service.log"),
         ));
         let engine = |zone: &&str| {
             let domain = format!("{zone}-d1");
@@ -150,7 +155,8 @@
                 "--domain",
                 &domain,
             ];
-            Process::start(&stand_in(), &arguments)
+            let log = directory.join(format!("engine-{zone}.log"));
+            Process::start(&stand_in(), &arguments, log)
         };
         let engines = ZONES.iter().map(engine).collect();
         let mut site = Self {
@@ -159,7 +165,7 @@
             service: platform,
             platform,
             http: cyclamen_http::Client::new(cyclamen_http::Options::default()),
-            _stand_ins: stand_ins,
+            stand_ins,
             directory,
         };
         site.write_tables();
@@ -198,7 +204,7 @@
     }
 
     pub fn start_entry(&mut self, index: usize) {
-        let listen = [0; 3].map(|_| free_address());
+        let listen = [0; 3].map(|_| server::free_address().unwrap());
         let mut settings =
             demo::settings(&format!("entry-{index}"), self.platform, listen).unwrap();
         settings.peer_allowed.push(listen[2].ip());
@@ -206,8 +212,9 @@
         let file = self.directory.join(format!("entry-{index}.json"));
         std::fs::write(&file, serde_json::to_vec(&settings).unwrap()).unwrap();
         let file = file.to_str().unwrap();
+        let log = self.directory.join(format!("entry-{index}.log"));
         self.entries.push(Entry {
-            process: Process::start(&cyclamenpath(), &["entry", "--settings", file]),
+            process: Process::start(&cyclamenpath(), &["entry", "--settings", file], log),
             caller_address: listen[0],
             operator_address: listen[1],
         });
@@ -237,8 +244,9 @@
         while !condition() {
             assert!(
                 started.elapsed() < WAIT_TIMEOUT,
-                "timed out waiting until {what}: {:#}",
-                self.statuses()
+                "timed out waiting until {what}: {:#}\n{}",
+                self.statuses(),
+                self.reports()
             );
             std::thread::sleep(POLL_INTERVAL);
         }
@@ -353,6 +361,13 @@
             .collect()
     }
 
+    /// Returns the states of all processes and the ends of their logs.
+    fn reports(&self) -> String {
+        let entries = self.entries.iter().map(|entry| &entry.process);
+        let processes = self.stand_ins.iter().chain(&self.engines).chain(entries);
+        processes.map(Process::report).collect()
+    }
+
     /// Sends a request with the operator token to any listener.
     pub fn request_as_operator(
         &self,
