test: choose addresses with a socket that never listens

The socket that finds a free port is bound with SO_REUSEADDR and never listens, so a copy of it in a child that is about to execute its program no longer keeps others from binding the address.

--- a/dev/stand-in/src/server.rs
+++ b/dev/stand-in/src/server.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU16, Ordering};
 
+use rustix::net::{self, AddressFamily, SocketFlags, SocketType};
 use trillium::Handler;
 use trillium_server_common::ServerHandle;
 use trillium_smol::async_net;
@@ -38,11 +39,22 @@
 ///
 /// The port is not reserved, so two calls could return the same one before it is bound; the
 /// host part therefore differs from call to call.
+///
+/// A child process that another thread starts has a copy of the socket until it executes its
+/// program. The socket therefore never listens, so that others can bind its address meanwhile.
 pub fn free_address() -> std::io::Result<SocketAddr> {
     static LAST: AtomicU16 = AtomicU16::new(1);
     let [high, low] = LAST.fetch_add(1, Ordering::Relaxed).to_be_bytes();
     let ip = IpAddr::from([127, 1, high, low]);
-    TcpListener::bind((ip, 0))?.local_addr()
+    let socket = net::socket_with(
+        AddressFamily::INET,
+        SocketType::STREAM,
+        SocketFlags::CLOEXEC,
+        None,
+    )?;
+    net::sockopt::set_socket_reuseaddr(&socket, true)?;
+    net::bind(&socket, &SocketAddr::new(ip, 0))?;
+    Ok(net::getsockname(&socket)?.try_into()?)
 }
 
 /// Reads the body of a request; returns no bytes if reading fails.
--- a/dev/stand-in/tests/listeners.rs
+++ b/dev/stand-in/tests/listeners.rs
@@ -4,39 +4,37 @@
 
 use std::net::TcpListener;
 use std::process::Command;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
 
 use cyclamen_stand_in::server;
 
 /// The number of threads that start processes.
 const STARTING_THREADS: usize = 4;
-/// The number of addresses chosen meanwhile.
-const ADDRESSES: usize = 4_000;
+/// The number of processes that each thread starts.
+const PROCESSES: usize = 100;
 
 /// A child holds copies of all descriptors of this process until it executes its program.
 #[test]
 fn an_address_can_be_bound_while_other_threads_start_processes() {
-    let stopped = Arc::new(AtomicBool::new(false));
     let threads: Vec<_> = (0..STARTING_THREADS)
-        .map(|_| {
-            let stopped = Arc::clone(&stopped);
-            std::thread::spawn(move || start_processes(&stopped))
-        })
+        .map(|_| std::thread::spawn(start_processes))
         .collect();
-    let addresses = (0..ADDRESSES).map(|_| server::free_address().unwrap());
-    let taken = addresses.filter(|address| TcpListener::bind(address).is_err());
-    let taken = taken.count();
-    stopped.store(true, Ordering::Relaxed);
+    let mut addresses = 0;
+    let mut taken = 0;
+    while !threads.iter().all(JoinHandle::is_finished) {
+        let address = server::free_address().unwrap();
+        addresses += 1;
+        taken += usize::from(TcpListener::bind(address).is_err());
+    }
     for thread in threads {
         thread.join().unwrap();
     }
-    assert_eq!(taken, 0, "of {ADDRESSES} addresses");
+    assert_eq!(taken, 0, "of {addresses} addresses");
 }
 
-fn start_processes(stopped: &AtomicBool) {
-    while !stopped.load(Ordering::Relaxed) {
+fn start_processes() {
+    for _ in 0..PROCESSES {
         let mut command = Command::new(env!("CARGO_BIN_EXE_cyclamenpath-stand-in"));
-        assert!(command.arg("--help").output().is_ok());
+        command.arg("--help").output().unwrap();
     }
 }
