--- a/crates/cyclamen-cache/src/cache.rs
+++ b/crates/cyclamen-cache/src/cache.rs
@@ -61,14 +61,20 @@
         self.insert_if_newer(row);
     }
 
+    /// Records a row whatever its revision, for a row whose value tells itself how new it is.
+    pub fn replace(&mut self, row: Row) {
+        self.insert(row);
+    }
+
     fn insert_if_newer(&mut self, row: Row) -> Option<Key> {
         let newer = self
             .rows
             .get(&row.key)
             .is_none_or(|old| old.revision < row.revision);
-        if !newer {
-            return None;
-        }
+        newer.then(|| self.insert(row))
+    }
+
+    fn insert(&mut self, row: Row) -> Key {
         let key = row.key.clone();
         let is_deleted = row.value.is_none();
         let old = self.rows.insert(key.clone(), row);
@@ -78,7 +84,7 @@
         if self.deleted >= MAX_DELETED_ROWS {
             self.forget_deleted();
         }
-        Some(key)
+        key
     }
 
     /// Forgets the older half of the deleted rows.
--- a/crates/cyclamen-cache/src/lib.rs
+++ b/crates/cyclamen-cache/src/lib.rs
@@ -10,4 +10,4 @@
 mod types;
 
 pub use cache::{Cache, Outcome};
-pub use types::{Delta, Key, Revision, Row};
+pub use types::{Delta, Era, Key, Revision, Row};
--- a/crates/cyclamen-cache/tests/spread.rs
+++ b/crates/cyclamen-cache/tests/spread.rs
@@ -67,7 +67,7 @@
         let revision = self.writes.len() as u64 + 1;
         let row = Row {
             key: key_of(key),
-            revision: Revision(revision),
+            revision: Revision::from(revision),
             value: (!delete).then(|| revision.to_string().into()),
         };
         self.writes.push(row.clone());
@@ -76,7 +76,7 @@
 
     /// Returns the changes after `since`, as the service had them at `as_of`.
     fn changes(&self, since: Revision, as_of: Revision) -> Delta {
-        let known = self.writes.iter().take(as_of.0 as usize);
+        let known = self.writes.iter().take(as_of.version as usize);
         let latest: BTreeMap<_, _> = known.map(|row| (row.key.clone(), row.clone())).collect();
         Delta {
             since,
@@ -89,7 +89,7 @@
     }
 
     fn newest(&self) -> Revision {
-        Revision(self.writes.len() as u64)
+        Revision::from(self.writes.len() as u64)
     }
 }
 
@@ -142,8 +142,8 @@
                 sim.merge(entry, delta);
             }
             Event::ReadStale(entry, lag) => {
-                let newest = sim.store.newest().0;
-                let as_of = Revision(newest.saturating_sub(lag as u64));
+                let newest = sim.store.newest().version;
+                let as_of = Revision::from(newest.saturating_sub(lag as u64));
                 let delta = sim.store.changes(sim.caches[entry].as_of(), as_of);
                 sim.merge(entry, delta);
             }
@@ -201,7 +201,7 @@
             revision >= before,
             "{key} reverted from {before} to {revision}"
         );
-        let expected = store.changes(Revision(0), cache.as_of());
+        let expected = store.changes(Revision::from(0), cache.as_of());
         let expected = expected
             .rows
             .iter()
@@ -237,7 +237,7 @@
         let revision = first_revision + 2 * n;
         let row = |revision, value: Option<&str>| Row {
             key: Key::new("shared/", format!("short-lived-{n}")),
-            revision: Revision(revision),
+            revision: Revision::from(revision),
             value: value.map(Into::into),
         };
         cache.record_write(row(revision, Some("{}")));
@@ -257,13 +257,16 @@
     let mut cache = Cache::default();
     churn(&mut cache, 1, 10_000);
     let empty = Delta {
-        since: Revision(0),
-        as_of: Revision(20_001),
+        since: Revision::from(0),
+        as_of: Revision::from(20_001),
         rows: Vec::new(),
     };
     assert_eq!(cache.merge(empty), Outcome::Merged(Vec::new()));
     let mut behind = Cache::default();
-    assert_eq!(behind.merge(cache.changes_since(Revision(5))), Outcome::Gap);
+    assert_eq!(
+        behind.merge(cache.changes_since(Revision::from(5))),
+        Outcome::Gap
+    );
 }
 
 #[test]
@@ -272,7 +275,7 @@
     churn(&mut cache, 1, 10_000);
     let row = |n: u64, revision| Row {
         key: Key::new("shared/", format!("short-lived-{n}")),
-        revision: Revision(revision),
+        revision: Revision::from(revision),
         value: Some("{}".into()),
     };
     assert!(cache.may_be_forgotten(&row(0, 1)));
--- a/crates/cyclamen-claim/tests/at_most_once.rs
+++ b/crates/cyclamen-claim/tests/at_most_once.rs
@@ -165,18 +165,18 @@
             Action::Read if delivery == Delivery::Unavailable => Input::ReadFailed,
             Action::Read => {
                 let revision = if self.row.is_some() { self.revision } else { 0 };
-                Input::Row(Revision(revision), self.row.clone())
+                Input::Row(Revision::from(revision), self.row.clone())
             }
             Action::Write(expected, record) => match delivery {
                 Delivery::Unavailable => Input::Unconfirmed,
                 Delivery::Delayed => {
-                    self.delayed_writes.push((expected.0, record));
+                    self.delayed_writes.push((expected.version, record));
                     Input::Unconfirmed
                 }
                 Delivery::Normal | Delivery::ResponseLost => {
-                    let written = self.write(expected.0, record);
+                    let written = self.write(expected.version, record);
                     let confirmed = written.filter(|_| delivery == Delivery::Normal);
-                    confirmed.map_or(Input::Unconfirmed, |r| Input::Committed(Revision(r)))
+                    confirmed.map_or(Input::Unconfirmed, |r| Input::Committed(Revision::from(r)))
                 }
             },
             Action::Query(claimant, attempt) => Input::Progress(Report {
@@ -184,7 +184,7 @@
                 progress: self.query(&claimant, attempt, delivery),
             }),
             Action::Send(revision) => {
-                self.calls[at].held = Some(revision.0);
+                self.calls[at].held = Some(revision.version);
                 return;
             }
             Action::Replay(_) | Action::Refuse(_) => {
@@ -385,7 +385,7 @@
     let (first, second) = (claimed("e1", 1), claimed("e2", 2));
     let mut acquisition = Acquisition::new(claimed("e3", 3));
     assert_eq!(acquisition.begin(), Action::Read);
-    let row = Input::Row(Revision(10), Some(first.clone()));
+    let row = Input::Row(Revision::from(10), Some(first.clone()));
     let query = Action::Query(first.claimant, first.attempt);
     assert_eq!(acquisition.step(row), query);
     let report = Input::Progress(Report {
@@ -393,7 +393,7 @@
         progress: Progress::Abandoned,
     });
     assert_eq!(acquisition.step(report), Action::Read);
-    let row = Input::Row(Revision(11), Some(second.clone()));
+    let row = Input::Row(Revision::from(11), Some(second.clone()));
     let query = Action::Query(second.claimant, second.attempt);
     assert_eq!(acquisition.step(row), query);
 }
--- a/crates/cyclamen-directory/src/registry.rs
+++ b/crates/cyclamen-directory/src/registry.rs
@@ -1,5 +1,6 @@
 //! The instances that the platform lists.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -180,6 +181,24 @@
         dropped || departed
     }
 
+    /// Returns whether the incarnation of an instance is known to have been replaced by a later
+    /// one, to leave or to have left.
+    pub fn is_obsolete(&self, instance: &Instance) -> bool {
+        let Some(record) = self.records.get(&instance.id) else {
+            return self.is_leaving(&instance.id, instance.incarnation);
+        };
+        match instance.incarnation.cmp(&record.instance.incarnation) {
+            Ordering::Less => true,
+            Ordering::Equal => !record.is_ready(),
+            Ordering::Greater => false,
+        }
+    }
+
+    /// Returns whether an instance is listed.
+    pub fn is_listed(&self, id: &instance::Id) -> bool {
+        self.records.get(id).is_some_and(Record::is_listed)
+    }
+
     /// Returns the record of the instance with the given id.
     pub fn get(&self, id: &instance::Id) -> Option<&Record> {
         self.records.get(id)
--- a/crates/cyclamen-entry/src/node/state.rs
+++ b/crates/cyclamen-entry/src/node/state.rs
@@ -37,7 +37,7 @@
     pub(crate) zone: cyclamen_types::zone::Name,
     pub(crate) lease: Holder,
     pub(crate) lease_revision: Option<Revision>,
-    pub(crate) observer: Observer<Owner>,
+    pub(crate) observer: Observer<Owner, Revision>,
     pub(crate) cache: Cache,
     pub(crate) synced_at: Option<Time>,
     pub(crate) routes: Arc<Document<Routes>>,
--- a/crates/cyclamen-entry/src/tasks/domains.rs
+++ b/crates/cyclamen-entry/src/tasks/domains.rs
@@ -60,7 +60,9 @@
     }
     let mut change = change_owner(state, name, Some(state.me.clone()));
     if let Some(former) = former {
-        let absent = change.transaction.when(keys::entry(former), Revision(0));
+        let absent = change
+            .transaction
+            .when(keys::entry(former), Revision::ABSENT);
         change.transaction = absent;
     }
     Some(change)
--- a/crates/cyclamen-entry/src/tasks/expiry.rs
+++ b/crates/cyclamen-entry/src/tasks/expiry.rs
@@ -60,13 +60,13 @@
         let entry = keys::entry(target);
         let revision = state.revision(&entry);
         let absent = Transaction::default()
-            .when(lease, Revision(0))
+            .when(lease, Revision::ABSENT)
             .when(entry.clone(), revision);
         return Some(absent.delete(entry));
     };
-    state.observer.observe(read_at, target, row.revision.0);
+    state.observer.observe(read_at, target, row.revision);
     let revision = state.observer.expired(read_at, target)?;
-    let expired = Transaction::default().when(lease.clone(), Revision(revision));
+    let expired = Transaction::default().when(lease.clone(), revision);
     Some(expired.delete(lease).delete(keys::entry(target)))
 }
 
--- a/crates/cyclamen-entry/src/tasks/gossip.rs
+++ b/crates/cyclamen-entry/src/tasks/gossip.rs
@@ -88,8 +88,10 @@
     let strikes = state.strikes.to_gossip(now, true, MAX_GOSSIP_ITEMS);
     Gossip {
         sender: state.me.clone(),
+        era: as_of.era,
         as_of,
         operators_as_of: as_of,
+        catalog_version: Default::default(),
         summaries: summaries(&state),
         answers: state.strikes.answers_to_gossip(now, &strikes),
         strikes,
--- a/crates/cyclamen-entry/src/tasks/lease.rs
+++ b/crates/cyclamen-entry/src/tasks/lease.rs
@@ -32,7 +32,7 @@
 
 fn registration_transaction(node: &Node, me: &Owner) -> Transaction {
     Transaction::default()
-        .when(keys::lease(me), Revision(0))
+        .when(keys::lease(me), Revision::ABSENT)
         .put(keys::lease(me), &Lease { renewals: 0 })
         .put(keys::entry(me), &entry(node, false))
 }
@@ -63,7 +63,7 @@
 
 fn renewal_transaction(me: &Owner, revision: Revision) -> Transaction {
     let lease = Lease {
-        renewals: revision.0,
+        renewals: revision.version,
     };
     Transaction::default()
         .when(keys::lease(me), revision)
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -1,6 +1,7 @@
 //! The node: the state of this entry, and its clients for calls to others.
 
 mod containment;
+mod era;
 mod history;
 mod ownership;
 mod peers;
--- a/crates/cyclamen-gateway/src/node/ownership.rs
+++ b/crates/cyclamen-gateway/src/node/ownership.rs
@@ -1,6 +1,7 @@
 //! The owners of fabric domains, and the planners of the domains that this entry owns.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use cyclamen_cache::Revision;
 use cyclamen_domain::Owner;
@@ -9,6 +10,8 @@
 use cyclamen_route::rendezvous::Ranking;
 use cyclamen_types::{Time, domain, entry};
 
+use crate::platform::Table;
+
 /// The stored row of a fabric domain, which names its owner.
 #[derive(Debug, Clone)]
 pub(crate) struct OwnerRow {
@@ -23,11 +26,17 @@
     /// The planners of the domains that this entry owns.
     pub(crate) planners: BTreeMap<domain::Name, Planner>,
     /// The leases of other entries.
-    pub(crate) observer: Observer<Owner>,
+    pub(crate) observer: Observer<Owner, Revision>,
     /// Whether this entry needs a lease because there are domains to take over.
     pub(crate) needs_lease: bool,
-    /// When the lease was last renewed.
-    pub(crate) renewed_at: Option<Time>,
+    /// When the lease is renewed next while this entry neither owns nor takes over a domain.
+    pub(crate) idle_renewal_at: Time,
+    /// The domains that this entry owned in the former era of the store.
+    pub(crate) formerly_owned: BTreeSet<domain::Name>,
+    /// When all leases of the former era of the store have expired, in a later era than the first.
+    pub(crate) takeovers_from: Option<Time>,
+    /// When the rows of domains are to be read even if there is none to take over.
+    read_domains_at: Option<Time>,
     /// When the rows of entries and domains were last read.
     pub(crate) read_at: Option<Time>,
     /// The candidates for the ownership of each domain in order of rank; the first live one
@@ -35,6 +44,7 @@
     ///
     /// Candidates gossip with each other, so that each can detect when a higher-ranked one fails.
     pub(crate) candidates: Ranking<domain::Name, entry::Name>,
+    lease: cyclamen_lease::Options,
 }
 
 impl Ownership {
@@ -44,9 +54,83 @@
             planners: BTreeMap::new(),
             observer: Observer::new(lease),
             needs_lease: false,
-            renewed_at: None,
+            idle_renewal_at: Time::default(),
+            formerly_owned: BTreeSet::new(),
+            takeovers_from: None,
+            read_domains_at: None,
+            lease,
             read_at: None,
             candidates: Ranking::default(),
         }
     }
+
+    /// Returns the conditions that the rows of the owned domains are unchanged.
+    pub(crate) fn conditions(&self) -> impl Iterator<Item = (Table, Arc<str>, Revision)> {
+        let rows = self.planners.keys();
+        let rows = rows.filter_map(|name| Some((name, self.owner_rows.get(name)?)));
+        rows.map(|(name, row)| (Table::Domains, name.as_str().into(), row.revision))
+    }
+
+    /// Records the rows of all domains as of a revision, and gives up the domains whose rows have
+    /// changed.
+    pub(crate) fn record_rows(
+        &mut self,
+        as_of: Revision,
+        mut rows: BTreeMap<domain::Name, OwnerRow>,
+    ) {
+        let known = std::mem::take(&mut self.owner_rows);
+        let revision = |name: &domain::Name| known.get(name).map(|row| row.revision);
+        self.planners.retain(|name, _| {
+            let known = revision(name);
+            let is_newer = known.is_some_and(|known| known > as_of);
+            let kept = is_newer || rows.get(name).map(|row| row.revision) == known;
+            if !kept {
+                log::warn!("event=domain_lost domain={name}");
+            }
+            kept
+        });
+        rows.extend(known.into_iter().filter(|(_, row)| row.revision > as_of));
+        self.owner_rows = rows;
+        self.read_domains_at = None;
+    }
+
+    /// Returns whether the rows of domains are to be read even if there is none to take over.
+    pub(crate) fn must_read_domains(&self, now: Time) -> bool {
+        self.read_domains_at.is_some_and(|at| now >= at)
+    }
+
+    /// Returns whether a domain belongs to `local`: its row says so, or the row was lost with the
+    /// former era of the store, in which `local` owned the domain.
+    pub(crate) fn names_owner(&self, domain: &domain::Name, local: &Owner) -> bool {
+        match self.owner_rows.get(domain) {
+            Some(row) => row.owner == *local,
+            None => self.read_domains_at.is_none() && self.formerly_owned.contains(domain),
+        }
+    }
+
+    /// Returns whether a domain may be taken over by another entry than its owner in the former
+    /// era of the store.
+    pub(crate) fn allows_takeovers(&self, now: Time) -> bool {
+        self.takeovers_from.is_none_or(|from| now >= from)
+    }
+
+    /// Gives up all domains at the beginning of an era of the store.
+    ///
+    /// Another entry that has not heard of the era may act on a lease of the former one until
+    /// that has expired, so only domains that were this entry's own are taken over before.
+    pub(crate) fn begin_era(&mut self, now: Time, idle_renewal_at: Time) {
+        self.formerly_owned.extend(self.planners.keys().cloned());
+        self.planners.clear();
+        self.owner_rows.clear();
+        self.observer = Observer::new(self.lease);
+        self.takeovers_from = Some(now + self.lease.lifetime + self.lease.margin);
+        self.idle_renewal_at = idle_renewal_at;
+        let read_at = if self.formerly_owned.is_empty() {
+            idle_renewal_at
+        } else {
+            now
+        };
+        self.read_domains_at = Some(read_at);
+        self.read_at = None;
+    }
 }
--- a/crates/cyclamen-gateway/src/node/peers.rs
+++ b/crates/cyclamen-gateway/src/node/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use cyclamen_cache::Revision;
+use cyclamen_directory::catalog::Version;
 use cyclamen_types::{Time, entry};
 
 /// Another entry.
@@ -18,6 +19,8 @@
     pub(crate) incarnation_seen_at: Option<Time>,
     /// When its gossip last arrived.
     pub(crate) last_heard: Option<Time>,
+    /// The version of the operators' configuration that was in force there at its last gossip.
+    pub(crate) catalog_version: Version,
     /// The revision up to which its list of instances was complete at its last gossip.
     pub(crate) as_of: Revision,
     /// The revision up to which it had the operators' rows at its last gossip.
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cyclamen_cache::{Cache, Revision};
+use cyclamen_cache::{Cache, Era, Key, Revision};
 use cyclamen_directory::{Catalog, Registry};
 use cyclamen_dispatch::{Cell, Dispatcher, Position, RetryBudget, cell};
 use cyclamen_domain::Owner;
@@ -16,6 +16,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::node::era::Recovery;
 use crate::node::history::History;
 use crate::node::ownership::Ownership;
 use crate::node::peers::Peer;
@@ -41,6 +42,10 @@
     pub(crate) local: Owner,
     pub(crate) zone: zone::Name,
     pub(crate) catalog: Arc<Catalog>,
+    /// The key of the row with the configuration, once there is one.
+    pub(crate) catalog_key: Option<Key>,
+    /// When the configuration came into force.
+    pub(crate) catalog_since: Time,
     pub(crate) zones_out: BTreeSet<zone::Name>,
     pub(crate) registry: Registry,
     pub(crate) dispatcher: Dispatcher,
@@ -48,6 +53,10 @@
     pub(crate) detector: Detector,
     /// Rows of the followed tables, to gossip to other entries.
     pub(crate) rows: Cache,
+    /// The highest era of the store that this entry has heard of.
+    pub(crate) era: Era,
+    /// The recovery from the beginning of the current era, if it isn't over.
+    pub(crate) recovery: Option<Recovery>,
     /// The revision up to which the store has delivered each followed table.
     pub(crate) positions: BTreeMap<Table, Revision>,
     /// When the store last answered a call for the changes of each followed table.
@@ -91,11 +100,15 @@
             },
             zone: settings.zone.clone(),
             catalog: Arc::default(),
+            catalog_key: None,
+            catalog_since: Time::default(),
             zones_out: BTreeSet::new(),
             registry: Registry::default(),
             dispatcher: Dispatcher::new(cyclamen_dispatch::Options::default()),
             detector: Detector::default(),
             rows: Cache::default(),
+            era: Era::default(),
+            recovery: None,
             positions: BTreeMap::new(),
             answered_at: BTreeMap::new(),
             operators_gossip_as_of: Revision::default(),
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -5,10 +5,11 @@
 
 use cyclamen_cache::{Key, Revision};
 use cyclamen_directory::Instance;
+use cyclamen_directory::catalog::Version;
 use cyclamen_types::Time;
 
 use crate::node::State;
-use crate::platform::{Platform, Record, Row, Snapshot, Subject, Table};
+use crate::platform::{DecodeError, Platform, Record, Row, Snapshot, Subject, Table};
 
 /// The time after which other entries should have read a change of the instance list from the
 /// store themselves.
@@ -56,6 +57,9 @@
     }
 
     /// Applies a complete table; rows that are missing from it count as deleted.
+    ///
+    /// Operators' rows of a former era of the store stay in force until rows of this era say
+    /// otherwise.
     pub(crate) fn apply_snapshot(
         &mut self,
         now: Time,
@@ -64,11 +68,10 @@
         snapshot: Snapshot,
     ) {
         let prefix = format!("{}/", table.as_str());
-        let known: Vec<Key> = self
-            .rows
-            .rows_with_prefix(&prefix)
-            .map(|row| row.key.clone())
-            .collect();
+        let era = snapshot.as_of.era;
+        let known = self.rows.rows_with_prefix(&prefix);
+        let known = known.filter(|row| table != Table::Operators || row.revision.era == era);
+        let known: Vec<Key> = known.map(|row| row.key.clone()).collect();
         let is_present = |key: &str| snapshot.rows.iter().any(|row| *row.key == *key);
         let deleted: Vec<Row> = known
             .iter()
@@ -81,7 +84,8 @@
                 value: None,
             })
             .collect();
-        self.apply_rows(now, platform, Source::Store, snapshot.rows);
+        let rows = self.admit_rows(platform, table, snapshot.rows);
+        self.apply_rows(now, platform, Source::Store, rows);
         self.apply_rows(now, platform, Source::Store, deleted);
         self.record_position(now, table, snapshot.as_of);
     }
@@ -112,6 +116,18 @@
         history.record(now, self.operators_gossip_as_of);
     }
 
+    /// Returns the row with the operators' configuration that is in force.
+    pub(crate) fn catalog_row(&self) -> Option<&cyclamen_cache::Row> {
+        self.rows.row(self.catalog_key.as_ref()?)
+    }
+
+    /// Returns whether other entries should have read the operators' configuration that is in
+    /// force from the store themselves, but one that reports this version has not.
+    pub(crate) fn has_propagated_catalog(&self, now: Time, reported: Version) -> bool {
+        let is_older = reported != Version::default() && reported < self.catalog.version();
+        is_older && now.since(self.catalog_since) >= OPERATORS_PROPAGATION_TIME
+    }
+
     /// Returns the revision up to which other entries should have read a followed table from the
     /// store themselves.
     pub(crate) fn propagated_revision(&self, now: Time, table: Table) -> Revision {
@@ -142,6 +158,10 @@
     /// may have changed.
     fn apply_row(&mut self, now: Time, platform: &dyn Platform, source: Source, row: Row) -> bool {
         let key = Key::new(&format!("{}/", row.table.as_str()), &row.key);
+        let subject = platform.subject(row.table, &row.key);
+        if subject == Subject::Catalog {
+            return self.apply_catalog_row(now, platform, source, key, row);
+        }
         let known = self.rows.row(&key).map(|known| known.revision);
         if known.is_some_and(|known| known >= row.revision) {
             return false;
@@ -151,7 +171,7 @@
             revision: row.revision,
             value: row.value.clone(),
         });
-        match platform.subject(row.table, &row.key) {
+        match subject {
             Subject::Other => false,
             Subject::ZoneOut(zone) if row.value.is_none() => {
                 log::info!("event=zone_in zone={zone} revision={}", row.revision);
@@ -168,12 +188,7 @@
             subject => match platform.decode(&row) {
                 Ok(record) => self.apply_record(now, row.revision, source, record),
                 Err(error) => {
-                    log::warn!(
-                        "event=row_not_understood table={} key={} revision={} reason=\"{error}\"",
-                        row.table.as_str(),
-                        row.key,
-                        row.revision
-                    );
+                    log_not_understood(&row, &error);
                     if let Subject::Instance(id) = subject {
                         self.registry.remove(now, &id);
                     }
@@ -183,6 +198,45 @@
         }
     }
 
+    /// Applies a row with an operators' configuration, whatever its revision, if its own version
+    /// is higher than that in force; returns whether it is.
+    ///
+    /// The row that is kept is always the one in force, with the highest revision seen.
+    fn apply_catalog_row(
+        &mut self,
+        now: Time,
+        platform: &dyn Platform,
+        source: Source,
+        key: Key,
+        row: Row,
+    ) -> bool {
+        let known = self.rows.row(&key).cloned();
+        let is_known = known.as_ref().is_some_and(|known| {
+            known.value == row.value || (known.value.is_some() && row.value.is_none())
+        });
+        let applied = !is_known
+            && match platform.decode(&row) {
+                Ok(record) => self.apply_record(now, row.revision, source, record),
+                Err(error) => {
+                    log_not_understood(&row, &error);
+                    false
+                }
+            };
+        let known_revision = known.as_ref().map(|known| known.revision);
+        let value = if applied {
+            row.value
+        } else {
+            known.and_then(|known| known.value).or(row.value)
+        };
+        self.catalog_key = Some(key.clone());
+        self.rows.replace(cyclamen_cache::Row {
+            key,
+            revision: row.revision.max(known_revision.unwrap_or_default()),
+            value,
+        });
+        applied
+    }
+
     fn apply_record(
         &mut self,
         now: Time,
@@ -198,6 +252,7 @@
                     source.as_str()
                 );
                 self.catalog = Arc::new(catalog);
+                self.catalog_since = now;
                 self.retain_retry_budgets();
                 true
             }
@@ -236,9 +291,10 @@
         );
     }
 
-    /// Removes suspicions that were not confirmed in time, instances that were not listed again in
+    /// Ends a recovery whose time is over. Removes suspicions that were not confirmed in time, instances that were not listed again in
     /// time, and containments that have expired.
-    pub(crate) fn remove_expired(&mut self, now: Time) {
+    pub(crate) fn remove_expired(&mut self, now: Time, platform: &dyn Platform) {
+        self.end_recovery(now, platform);
         let restored = self.detector.expire(now);
         let departed = self.registry.expire(now);
         self.strikes.release_expired(now);
@@ -248,3 +304,12 @@
         }
     }
 }
+
+fn log_not_understood(row: &Row, error: &DecodeError) {
+    log::warn!(
+        "event=row_not_understood table={} key={} revision={} reason=\"{error}\"",
+        row.table.as_str(),
+        row.key,
+        row.revision
+    );
+}
--- a/crates/cyclamen-gateway/src/platform.rs
+++ b/crates/cyclamen-gateway/src/platform.rs
@@ -9,7 +9,7 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use cyclamen_cache::Revision;
+use cyclamen_cache::{Era, Revision};
 use cyclamen_replica::{Command, Outcome};
 
 pub use dialect::Dialect;
@@ -26,10 +26,14 @@
     /// Returns the names of headers and paths.
     fn dialect(&self) -> &Dialect;
 
+    /// Returns the highest era of the store that any of its responses told.
+    fn era(&self) -> Era;
+
     /// Reads a complete table.
     fn read(&self, table: Table) -> BoxFuture<Result<Snapshot, Error>>;
 
-    /// Waits for rows of a table that change after a revision.
+    /// Waits for rows of a table that change after a revision; a revision of a former era has
+    /// expired.
     fn follow(
         &self,
         table: Table,
@@ -37,7 +41,7 @@
         poll: Poll,
     ) -> BoxFuture<Result<Changes, Error>>;
 
-    /// Commits a transaction.
+    /// Commits a transaction; a condition with a revision of a former era does not hold.
     fn commit(&self, transaction: Transaction) -> BoxFuture<Result<Commit, Error>>;
 
     /// Returns what a row describes.
--- a/crates/cyclamen-gateway/src/platform/store.rs
+++ b/crates/cyclamen-gateway/src/platform/store.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use cyclamen_cache::Revision;
+use cyclamen_cache::{Era, Revision};
 use cyclamen_directory::{Catalog, Instance};
 use cyclamen_types::{instance, zone};
 
@@ -62,14 +62,15 @@
 pub enum Changes {
     /// The rows that changed, up to the snapshot's revision.
     Rows(Snapshot),
-    /// The store no longer has the changes; the table must be read again.
+    /// The store no longer has the changes, or is in a new era; the table must be read again.
     Expired,
 }
 
 /// Conditional writes that are committed atomically.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Transaction {
-    /// The revision that each of these rows must have; zero if the row must not exist.
+    /// The revision that each of these rows must have, or [`Revision::ABSENT`] if the row must
+    /// not exist.
     pub conditions: Vec<(Table, Arc<str>, Revision)>,
     /// Rows to write.
     pub puts: Vec<(Table, Arc<str>, Arc<str>)>,
@@ -77,6 +78,14 @@
     pub deletes: Vec<(Table, Arc<str>)>,
 }
 
+impl Transaction {
+    /// Returns whether no condition has a revision of another era than this.
+    pub fn conditions_are_of(&self, era: Era) -> bool {
+        let mut conditions = self.conditions.iter();
+        conditions.all(|(_, _, revision)| *revision == Revision::ABSENT || revision.era == era)
+    }
+}
+
 /// The outcome of a transaction to which the store responded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Commit {
@@ -95,6 +104,9 @@
     Lost,
     /// The response cannot be decoded.
     Malformed,
+    /// The response is of a former era of the store, or the store has begun a new era during the
+    /// call, which may have taken effect.
+    EraEnded,
 }
 
 impl fmt::Display for Error {
@@ -104,6 +116,7 @@
             Self::Refused(None) => f.write_str("store could not be reached"),
             Self::Lost => f.write_str("response of the store was lost"),
             Self::Malformed => f.write_str("response of the store cannot be decoded"),
+            Self::EraEnded => f.write_str("store has come back from a copy"),
         }
     }
 }
--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -56,6 +56,6 @@
 /// Removes expired state and probes workers again that may have failed.
 async fn expire(node: &Arc<Node>) {
     let now = node.now();
-    node.state().remove_expired(now);
+    node.state().remove_expired(now, node.platform.as_ref());
     probe::reprobe(node);
 }
--- a/crates/cyclamen-gateway/src/tasks/follow.rs
+++ b/crates/cyclamen-gateway/src/tasks/follow.rs
@@ -99,10 +99,14 @@
 ///
 /// `reachable` is whether the store answered the last call.
 async fn follow(node: &Arc<Node>, table: Table, reachable: bool) -> Result<bool, Error> {
-    let (after, age) = {
+    let (after, age, era) = {
         let state = node.state();
-        (state.as_of(table), state.table_age(node.now(), table))
+        let age = state.table_age(node.now(), table);
+        (state.as_of(table), age, state.era)
     };
+    if after.era < era {
+        return Ok(false);
+    }
     let polls = node.settings.timing.polls(table);
     let poll = if reachable {
         polls.next(age)
@@ -111,6 +115,7 @@
     };
     let followed = node.platform.follow(table, after, poll).await;
     node.metrics.record_store_call("follow", followed.is_ok());
+    store::observe_era(node);
     match followed? {
         Changes::Rows(snapshot) => {
             let has_changes = !snapshot.rows.is_empty();
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -10,7 +10,7 @@
 use rand::seq::IteratorRandom;
 
 use crate::node::{FOLLOWED_TABLES, Node, Peer, Source, State};
-use crate::platform::{Row, Table};
+use crate::platform::{Row, Subject, Table};
 use crate::settings::millis;
 use crate::tasks::ownership;
 use crate::tasks::probe::{INITIAL_PROBES, probe_worker};
@@ -161,11 +161,13 @@
     if received.sender.entry == state.local.entry {
         return;
     }
+    state.observe_era(now, received.era);
     if let Some(peer) = state.peers.get_mut(&received.sender.entry) {
         if peer.incarnation_seen_at.is_none() || peer.incarnation != received.sender.incarnation {
             peer.incarnation_seen_at = Some(now);
         }
         peer.last_heard = Some(now);
+        peer.catalog_version = received.catalog_version;
         peer.as_of = received.as_of;
         peer.operators_as_of = received.operators_as_of;
         peer.incarnation = received.sender.incarnation;
@@ -182,9 +184,15 @@
     let rows = received.delta.rows.into_iter();
     let rows = rows.filter(|row| !state.rows.may_be_forgotten(row));
     let rows: Vec<Row> = rows.filter_map(row).collect();
+    let (rows, obsolete): (Vec<Row>, Vec<Row>) = rows
+        .into_iter()
+        .partition(|row| row.revision.era == state.era);
+    let is_catalog = |row: &Row| node.platform.subject(row.table, &row.key) == Subject::Catalog;
+    let catalog = obsolete.into_iter().filter(is_catalog);
     let has_rows = !rows.is_empty();
     let operators = rows.iter().filter(|row| row.table == Table::Operators);
     let newest = operators.map(|row| row.revision).max();
+    let rows = rows.into_iter().chain(catalog);
     state.apply_rows(now, node.platform.as_ref(), Source::Gossip, rows);
     if let Some(newest) = newest.filter(|_| now >= FORMER_INCARNATION_UNTIL) {
         state.record_operators_gossip(now, newest);
@@ -205,7 +213,8 @@
 /// Entries read changes from the store at about the same time, so the message
 /// contains only rows that the other entry should have read a while ago. The
 /// operators' rows are sent in the order of their revisions, so that the receiver
-/// has all of them up to the last one it received.
+/// has all of them up to the last one it received. Their configuration is sent besides if the one
+/// in force at the other entry is older.
 fn message(state: &State, now: Time, peer: &Peer) -> Gossip {
     let fresh = peer
         .last_heard
@@ -215,7 +224,8 @@
     }
     let propagated = state.propagated_revision(now, Table::Instances);
     let lags = peer.operators_as_of < state.propagated_revision(now, Table::Operators);
-    if !lags && peer.as_of >= propagated {
+    let lacks_catalog = state.has_propagated_catalog(now, peer.catalog_version);
+    if !lags && !lacks_catalog && peer.as_of >= propagated {
         return message_without_rows(state, now, Some(peer));
     }
     let prefix = |table: Table| format!("{}/", table.as_str());
@@ -233,6 +243,8 @@
     let oldest = peer.as_of.min(peer.operators_as_of);
     let is_listed = |row: &cyclamen_cache::Row| row.key.0.starts_with(&listed);
     let mut rows: Vec<_> = state.rows.rows_since(oldest).filter(lacks).collect();
+    let catalog = state.catalog_row().filter(|_| lacks_catalog);
+    rows.extend(catalog.filter(|catalog| !rows.iter().any(|row| row.key == catalog.key)));
     rows.sort_unstable_by_key(|row| (is_listed(row), row.revision));
     rows.truncate(MAX_ROWS);
     Gossip {
@@ -251,8 +263,10 @@
     let strikes = state.strikes.to_gossip(now, is_new, MAX_STRIKES);
     Gossip {
         sender: state.local.clone(),
+        era: state.era,
         as_of: state.as_of(Table::Instances),
         operators_as_of: state.operators_as_of(),
+        catalog_version: state.catalog.version(),
         summaries: Vec::new(),
         answers: state.strikes.answers_to_gossip(now, &strikes),
         strikes,
--- a/crates/cyclamen-gateway/src/tasks/lease.rs
+++ b/crates/cyclamen-gateway/src/tasks/lease.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use cyclamen_cache::Revision;
+use cyclamen_directory::catalog::Version;
 use cyclamen_types::{Time, entry, zone};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 use crate::node::{Node, Peer, State};
 use crate::platform::{Commit, Error, Snapshot, Table, Transaction};
-use crate::tasks::store;
+use crate::tasks::{ownership, store};
 
 /// The renewal interval of an entry that owns no domain.
 const IDLE_RENEWAL_INTERVAL: Duration = Duration::from_secs(10);
@@ -46,8 +47,10 @@
     let Some((key, value, revision)) = own_row(node) else {
         return;
     };
+    let mut conditions = vec![(Table::Entries, key.clone(), revision)];
+    conditions.extend(node.state().ownership.conditions());
     let transaction = Transaction {
-        conditions: vec![(Table::Entries, key.clone(), revision)],
+        conditions,
         puts: vec![(Table::Entries, key, value)],
         deletes: Vec::new(),
     };
@@ -57,7 +60,7 @@
             let held = state.lease.is_held(now);
             state.lease_revision = Some(revision);
             state.lease.record_renewal(renewal);
-            state.ownership.renewed_at = Some(now);
+            state.ownership.idle_renewal_at = now + IDLE_RENEWAL_INTERVAL;
             if !held {
                 log::info!("event=lease_obtained revision={revision}");
             }
@@ -73,8 +76,7 @@
 /// can discover it, and renews it less often.
 fn is_due(state: &State, now: Time) -> bool {
     let idle = state.ownership.planners.is_empty() && !state.ownership.needs_lease;
-    let renewed_at = state.ownership.renewed_at;
-    !idle || renewed_at.is_none_or(|at| now.since(at) >= IDLE_RENEWAL_INTERVAL)
+    !idle || now >= state.ownership.idle_renewal_at
 }
 
 /// Returns the key, the value and the last known revision of this entry's row.
@@ -105,11 +107,14 @@
 ///
 /// An earlier write whose response was lost may have been committed since; then
 /// the row still has this entry's incarnation. Otherwise the lease was lost to
-/// another entry.
+/// another entry. A domain whose row has changed is lost in either case.
 async fn resolve_conflict(node: &Arc<Node>) {
     let Ok(snapshot) = read_entries(node).await else {
         return;
     };
+    if ownership::read_owners(node).await.is_err() {
+        return;
+    }
     let mut state = node.state();
     let local = state.local.clone();
     let own = snapshot
@@ -163,6 +168,7 @@
                 same_zone,
                 incarnation_seen_at: None,
                 last_heard: None,
+                catalog_version: Version::default(),
                 as_of: Revision::default(),
                 operators_as_of: Revision::default(),
                 call_in_progress: false,
@@ -170,7 +176,11 @@
         });
         peer.address = address;
     }
-    state.peers.retain(|name, _| listed.contains(name));
+    // While the store may still lack rows, the other entries are those that call.
+    let is_recovering = state.is_recovering();
+    state
+        .peers
+        .retain(|name, _| is_recovering || listed.contains(name));
     state.update_cell();
 }
 
@@ -185,7 +195,7 @@
         let mut state = node.state();
         state.lease.record_loss();
         let local = state.local.clone();
-        let Some(revision) = state.lease_revision.filter(|r| r.0 > 0) else {
+        let Some(revision) = state.lease_revision.filter(|r| *r != Revision::ABSENT) else {
             return;
         };
         let own_row: (Table, Arc<str>) = (Table::Entries, local.entry.as_str().into());
--- a/crates/cyclamen-gateway/src/tasks/ownership.rs
+++ b/crates/cyclamen-gateway/src/tasks/ownership.rs
@@ -1,6 +1,6 @@
 //! Takes over fabric domains that have no live owner.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::node::{Node, OwnerRow, State};
-use crate::platform::{Commit, Snapshot, Table, Transaction};
+use crate::platform::{Commit, Error, Snapshot, Table, Transaction};
 use crate::settings::millis;
 use crate::tasks::{lease, store};
 
@@ -23,6 +23,8 @@
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(500);
 /// The number of fencing tokens that an owner may use for each revision of the store.
 const FENCES_PER_REVISION: u64 = 1_000;
+/// The number of versions per era for which fencing tokens are set aside.
+const VERSIONS_PER_ERA: u64 = 1 << 32;
 
 /// The stored row of a fabric domain.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,22 +34,22 @@
 
 /// Takes over the domains without a live owner that are assigned to this entry.
 pub(super) async fn step(node: &Arc<Node>) {
-    let Some(names) = due_takeovers(node) else {
+    if !is_due(node) {
         return;
-    };
+    }
     let Ok(entries) = lease::read_entries(node).await else {
         return;
     };
-    if names.is_empty() {
+    let must_read = node.state().ownership.must_read_domains(node.now());
+    if !must_read && takeovers(node).is_empty() {
         return;
     }
-    let Ok(domains) = store::read(node, Table::Domains).await else {
+    if read_owners(node).await.is_err() {
         return;
-    };
+    }
     let now = node.now();
-    record_owner_rows(node, &domains);
     observe_leases(node, now, &entries);
-    for name in names {
+    for name in takeovers(node) {
         let transaction = takeover_transaction(&node.state(), now, &entries, &name);
         if let Some(transaction) = transaction {
             take_over(node, &name, transaction).await;
@@ -55,35 +57,43 @@
     }
 }
 
-/// Returns the domains to take over, or `None` if the rows of entries and domains are not to be
-/// read now.
-fn due_takeovers(node: &Node) -> Option<Vec<domain::Name>> {
+/// Returns whether the rows of entries, and perhaps of domains, are to be read now.
+fn is_due(node: &Node) -> bool {
     let now = node.now();
     let mut state = node.state();
     if state.draining {
-        return None;
+        return false;
     }
-    let silence = millis(node.settings.timing.peer_silence_ms);
     update_candidates(&mut state);
-    let names = domains_to_take_over(&state, now, silence);
-    state.ownership.needs_lease = !names.is_empty();
+    let silence = millis(node.settings.timing.peer_silence_ms);
+    let has_takeovers = !domains_to_take_over(&state, now, silence).is_empty();
+    let must_read = state.ownership.must_read_domains(now);
+    let resumes = must_read && !state.ownership.formerly_owned.is_empty();
+    state.ownership.needs_lease = has_takeovers || resumes;
     // Without a lease the rows are read only once, to discover the other entries.
-    let names = if state.lease.is_held(now) {
-        names
-    } else {
-        Vec::new()
-    };
+    let may_take_over = has_takeovers && state.lease.is_held(now);
     let last = state.ownership.read_at;
     let recent = last.is_some_and(|at| now.since(at) < MIN_READ_INTERVAL);
-    if recent || (names.is_empty() && last.is_some()) {
-        return None;
+    let is_due = !recent && (may_take_over || must_read || last.is_none());
+    if is_due {
+        state.ownership.read_at = Some(now);
     }
-    state.ownership.read_at = Some(now);
-    Some(names)
+    is_due
 }
 
-/// Returns the domains that this entry should take over: those without a live owner for which it
-/// ranks before all other live candidates.
+/// Returns the domains to take over, none without a lease.
+fn takeovers(node: &Node) -> Vec<domain::Name> {
+    let now = node.now();
+    let state = node.state();
+    if !state.lease.is_held(now) {
+        return Vec::new();
+    }
+    let silence = millis(node.settings.timing.peer_silence_ms);
+    domains_to_take_over(&state, now, silence)
+}
+
+/// Returns the domains that this entry should take over: its own ones that it does not plan, and
+/// those without a live owner for which it ranks before all other live candidates.
 fn domains_to_take_over(state: &State, now: Time, silence: Duration) -> Vec<domain::Name> {
     let alive = |name: &entry::Name| {
         let last_heard = state.peers.get(name).and_then(|peer| peer.last_heard);
@@ -91,17 +101,19 @@
     };
     let is_unowned = |name: &domain::Name| {
         let row = state.ownership.owner_rows.get(name);
-        let owned = row.is_some_and(|row| {
-            alive(&row.owner.entry) && !is_former_incarnation(state, &row.owner)
-        });
-        !owned && !state.ownership.planners.contains_key(name)
+        !row.is_some_and(|row| alive(&row.owner.entry) && !is_former_incarnation(state, &row.owner))
     };
     let is_first = |candidates: &[entry::Name]| {
         candidates.iter().find(|entry| alive(entry)) == Some(&state.local.entry)
     };
-    let domains = state.ownership.candidates.iter();
-    let to_take_over =
-        domains.filter(|(name, candidates)| is_first(candidates) && is_unowned(name));
+    let ownership = &state.ownership;
+    let allowed = ownership.allows_takeovers(now);
+    let domains = ownership.candidates.iter();
+    let to_take_over = domains.filter(|(name, candidates)| {
+        let is_own = ownership.names_owner(name, &state.local);
+        let is_free = allowed && is_first(candidates) && is_unowned(name);
+        !ownership.planners.contains_key(*name) && (is_own || is_free)
+    });
     to_take_over.map(|(name, _)| name.clone()).collect()
 }
 
@@ -154,21 +166,24 @@
     peer.is_some_and(|peer| peer.incarnation != owner.incarnation)
 }
 
-fn record_owner_rows(node: &Node, domains: &Snapshot) {
-    let mut state = node.state();
-    state.ownership.owner_rows.clear();
-    for row in &domains.rows {
+/// Reads the rows of all domains and records their owners.
+pub(super) async fn read_owners(node: &Node) -> Result<(), Error> {
+    let snapshot = store::read(node, Table::Domains).await?;
+    let mut rows = BTreeMap::new();
+    for row in &snapshot.rows {
         let name = row.key.parse::<domain::Name>();
         let value = row.value.as_deref().unwrap_or_default();
         match (name, serde_json::from_str::<Row>(value)) {
             (Ok(name), Ok(Row { owner })) => {
                 let revision = row.revision;
-                let owner_row = OwnerRow { owner, revision };
-                state.ownership.owner_rows.insert(name, owner_row);
+                rows.insert(name, OwnerRow { owner, revision });
             }
             _ => log::warn!("event=domain_row_not_understood key={}", row.key),
         }
     }
+    let mut state = node.state();
+    state.ownership.record_rows(snapshot.as_of, rows);
+    Ok(())
 }
 
 fn observe_leases(node: &Node, now: Time, entries: &Snapshot) {
@@ -182,8 +197,8 @@
                 entry,
                 incarnation: content.incarnation,
             };
-            let revision = row.revision.0;
-            state.ownership.observer.observe(now, &owner, revision);
+            let observer = &mut state.ownership.observer;
+            observer.observe(now, &owner, row.revision);
             listed.insert(owner);
         }
     }
@@ -230,7 +245,7 @@
     let current = row.and_then(|row| lease::parse(row.value.as_deref()));
     if current.is_some_and(|c| c.incarnation == former.incarnation) {
         let expired = state.ownership.observer.expired(now, former)?;
-        let condition = (Table::Entries, lease_key.clone(), Revision(expired));
+        let condition = (Table::Entries, lease_key.clone(), expired);
         transaction.conditions.push(condition);
         transaction.deletes.push((Table::Entries, lease_key));
     } else {
@@ -250,7 +265,7 @@
             let owner = state.local.clone();
             let row = OwnerRow { owner, revision };
             state.ownership.owner_rows.insert(name.clone(), row);
-            let fence = group::Fence(revision.0.saturating_mul(FENCES_PER_REVISION));
+            let fence = first_fence(&state, name, revision);
             let planner = Planner::new(name.clone(), fence, Default::default());
             state.ownership.planners.insert(name.clone(), planner);
             drop(state);
@@ -260,3 +275,18 @@
         Err(error) => log::warn!("event=domain_not_taken domain={name} reason=\"{error}\""),
     }
 }
+
+/// Returns the fencing token below those of a new owner of a domain.
+///
+/// It rises with each revision of the store, also over eras, and is at least the highest one that
+/// the workers of the domain are known to have seen.
+fn first_fence(state: &State, domain: &domain::Name, revision: Revision) -> group::Fence {
+    let versions = revision.era.0.saturating_mul(VERSIONS_PER_ERA);
+    let versions = versions.saturating_add(revision.version);
+    let fence = group::Fence(versions.saturating_mul(FENCES_PER_REVISION));
+    let records = state.registry.records();
+    let workers = records.filter(|record| record.instance.domain.as_ref() == Some(domain));
+    let memberships = workers.filter_map(|record| record.instance.membership.as_ref());
+    let seen = memberships.map(|membership| membership.fence).max();
+    seen.unwrap_or_default().max(fence)
+}
--- a/crates/cyclamen-gateway/src/tasks/store.rs
+++ b/crates/cyclamen-gateway/src/tasks/store.rs
@@ -11,6 +11,11 @@
 pub(super) async fn read(node: &Node, table: Table) -> Result<Snapshot, Error> {
     let result = node.platform.read(table).await;
     node.metrics.record_store_call("read", result.is_ok());
+    observe_era(node);
+    let result = result.and_then(|snapshot| {
+        let is_current = snapshot.as_of.era == node.state().era;
+        is_current.then_some(snapshot).ok_or(Error::EraEnded)
+    });
     result.inspect_err(|error| {
         let table = table.as_str();
         log::info!("event=table_not_read table={table} reason=\"{error}\"");
@@ -21,7 +26,19 @@
 pub(super) async fn commit(node: &Node, transaction: Transaction) -> Result<Commit, Error> {
     let result = node.platform.commit(transaction).await;
     node.metrics.record_store_call("commit", result.is_ok());
-    result
+    observe_era(node);
+    match result {
+        Ok(Commit::Done(revision)) if revision.era < node.state().era => Err(Error::EraEnded),
+        result => result,
+    }
+}
+
+/// Begins an era of the store that one of its responses has told.
+pub(super) fn observe_era(node: &Node) {
+    let era = node.platform.era();
+    if node.state().observe_era(node.now(), era) {
+        node.wake_planner();
+    }
 }
 
 /// Encodes a row of one of the tables that entries write; logs an error.
--- a/crates/cyclamen-lease/tests/exclusion.rs
+++ b/crates/cyclamen-lease/tests/exclusion.rs
@@ -78,7 +78,7 @@
     rates: Vec<u64>,
     holders: Vec<Holder>,
     known_revisions: Vec<u64>,
-    observers: Vec<Observer<usize>>,
+    observers: Vec<Observer<usize, u64>>,
     /// The revision of each lease row, kept when the row is removed.
     rows: Vec<u64>,
     removed: Vec<bool>,
--- a/crates/cyclamen-peer/schema/peer.capnp
+++ b/crates/cyclamen-peer/schema/peer.capnp
@@ -33,12 +33,16 @@
   revision @1 :UInt64;
   present @2 :Bool;
   value @3 :Text;
+  revisionEra @4 :UInt64;
+  # How often the store had come back from a copy at this revision.
 }
 
 struct Delta {
   since @0 :UInt64;
   asOf @1 :UInt64;
   rows @2 :List(Row);
+  sinceEra @3 :UInt64;
+  asOfEra @4 :UInt64;
 }
 
 struct Load {
@@ -69,6 +73,12 @@
   # The revision up to which the sender knows what operators wrote.
   answered @8 :List(Answered);
   # When requests with the parts of these strikes were last answered.
+  asOfEra @9 :UInt64;
+  operatorsAsOfEra @10 :UInt64;
+  catalogVersion @11 :UInt64;
+  # The version of the operators' configuration that is in force at the sender.
+  storeEra @12 :UInt64;
+  # The highest era of the store that the sender knows.
 }
 
 struct Ask {
--- a/crates/cyclamen-peer/src/decode.rs
+++ b/crates/cyclamen-peer/src/decode.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use capnp::Error;
-use cyclamen_cache::{Delta, Key, Revision, Row};
+use cyclamen_cache::{Delta, Era, Key, Revision, Row};
 use cyclamen_claim::Progress;
+use cyclamen_directory::catalog::Version;
 use cyclamen_dispatch::Load;
 use cyclamen_domain::{Ending, Grant, Owner};
 use cyclamen_replica::Start;
@@ -66,19 +67,26 @@
     })
 }
 
+fn revision(era: u64, version: u64) -> Revision {
+    Revision {
+        era: Era(era),
+        version,
+    }
+}
+
 fn row(from: wire::row::Reader<'_>) -> Result<Row, Error> {
     let value = from.get_value()?.to_str()?;
     Ok(Row {
         key: Key(from.get_key()?.to_str()?.into()),
-        revision: Revision(from.get_revision()),
+        revision: revision(from.get_revision_era(), from.get_revision()),
         value: from.get_present().then(|| value.into()),
     })
 }
 
 fn delta(from: wire::delta::Reader<'_>) -> Result<Delta, Error> {
     Ok(Delta {
-        since: Revision(from.get_since()),
-        as_of: Revision(from.get_as_of()),
+        since: revision(from.get_since_era(), from.get_since()),
+        as_of: revision(from.get_as_of_era(), from.get_as_of()),
         rows: from.get_rows()?.iter().map(row).collect::<Result<_, _>>()?,
     })
 }
@@ -102,8 +110,10 @@
 pub(crate) fn gossip(from: wire::news::Reader<'_>) -> Result<Gossip, Error> {
     Ok(Gossip {
         sender: owner(from.get_sender()?)?,
-        as_of: Revision(from.get_as_of()),
-        operators_as_of: Revision(from.get_operators_as_of()),
+        era: Era(from.get_store_era()),
+        as_of: revision(from.get_as_of_era(), from.get_as_of()),
+        operators_as_of: revision(from.get_operators_as_of_era(), from.get_operators_as_of()),
+        catalog_version: Version(from.get_catalog_version()),
         summaries: from
             .get_summaries()?
             .iter()
--- a/crates/cyclamen-peer/src/encode.rs
+++ b/crates/cyclamen-peer/src/encode.rs
@@ -54,14 +54,17 @@
 
 fn row(mut to: wire::row::Builder<'_>, row: &Row) {
     to.set_key(&*row.key.0);
-    to.set_revision(row.revision.0);
+    to.set_revision(row.revision.version);
+    to.set_revision_era(row.revision.era.0);
     to.set_present(row.value.is_some());
     to.set_value(row.value.as_deref().unwrap_or_default());
 }
 
 fn delta(mut to: wire::delta::Builder<'_>, delta: &Delta) {
-    to.set_since(delta.since.0);
-    to.set_as_of(delta.as_of.0);
+    to.set_since(delta.since.version);
+    to.set_since_era(delta.since.era.0);
+    to.set_as_of(delta.as_of.version);
+    to.set_as_of_era(delta.as_of.era.0);
     let mut rows = to.init_rows(count(delta.rows.len()));
     for (i, each) in (0..).zip(&delta.rows) {
         row(rows.reborrow().get(i), each);
@@ -82,8 +85,12 @@
 
 pub(crate) fn gossip(mut to: wire::news::Builder<'_>, gossip: &Gossip) {
     owner(to.reborrow().init_sender(), &gossip.sender);
-    to.set_as_of(gossip.as_of.0);
-    to.set_operators_as_of(gossip.operators_as_of.0);
+    to.set_as_of(gossip.as_of.version);
+    to.set_as_of_era(gossip.as_of.era.0);
+    to.set_operators_as_of(gossip.operators_as_of.version);
+    to.set_operators_as_of_era(gossip.operators_as_of.era.0);
+    to.set_catalog_version(gossip.catalog_version.0);
+    to.set_store_era(gossip.era.0);
     let mut summaries = to.reborrow().init_summaries(count(gossip.summaries.len()));
     for (i, each) in (0..).zip(&gossip.summaries) {
         pool_summary(summaries.reborrow().get(i), each);
--- a/crates/cyclamen-peer/src/message.rs
+++ b/crates/cyclamen-peer/src/message.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cyclamen_cache::{Delta, Revision};
+use cyclamen_cache::{Delta, Era, Revision};
+use cyclamen_directory::catalog::Version;
 use cyclamen_dispatch::Load;
 use cyclamen_domain::{Ending, Grant, Owner};
 use cyclamen_replica::Start;
@@ -17,10 +18,14 @@
 pub struct Gossip {
     /// The entry that sends the message.
     pub sender: Owner,
+    /// The highest era of the store that the sender knows.
+    pub era: Era,
     /// The revision up to which the sender's cache is complete.
     pub as_of: Revision,
     /// The revision up to which the sender has received the operators' writes.
     pub operators_as_of: Revision,
+    /// The version of the operators' configuration that is in force at the sender.
+    pub catalog_version: Version,
     /// The state of pools in the sender's own domains.
     pub summaries: Vec<PoolSummary>,
     /// The strikes recorded by the sender.
--- a/crates/cyclamen-peer/src/peer_capnp.rs
+++ b/crates/cyclamen-peer/src/peer_capnp.rs
@@ -1252,11 +1252,15 @@
         pub fn has_value(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_revision_era(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1354,6 +1358,14 @@
         pub fn has_value(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_revision_era(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_revision_era(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1365,51 +1377,58 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(221, 42, 83, 255, 241, 16, 206, 140),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 82, 111, 119, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1443,6 +1462,15 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+            ::capnp::word(69, 114, 97, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1450,6 +1478,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1463,9 +1492,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1,4,3];
         pub(crate) const TYPE_ID: u64 = 0x8cce_10f1_ff53_2add;
     }
 }
@@ -1547,11 +1576,19 @@
         pub fn has_rows(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_since_era(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_as_of_era(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1633,6 +1670,22 @@
         pub fn has_rows(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
+        #[inline]
+        pub fn get_since_era(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_since_era(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_as_of_era(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_as_of_era(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1644,45 +1697,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 66] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(104, 114, 148, 97, 86, 1, 182, 186),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 68, 101, 108, 116, 97),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 105, 110, 99, 101, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1711,12 +1778,31 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 105, 110, 99, 101, 69, 114, 97),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 115, 79, 102, 69, 114, 97, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::struct_list::Owned<crate::peer_capnp::row::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1730,9 +1816,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,2,0,3];
         pub(crate) const TYPE_ID: u64 = 0xbab6_0156_6194_7268;
     }
 }
@@ -2390,11 +2476,27 @@
         pub fn has_answered(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_as_of_era(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_operators_as_of_era(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_catalog_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn get_store_era(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 7 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2572,6 +2674,38 @@
         pub fn has_answered(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_as_of_era(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_as_of_era(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_operators_as_of_era(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_operators_as_of_era(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_catalog_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_catalog_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
+        #[inline]
+        pub fn get_store_era(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_store_era(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(5, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2589,86 +2723,114 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 175] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 239] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(52, 153, 207, 91, 50, 249, 244, 177),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
             ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 223, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 78, 101, 119, 115, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(238, 160, 2, 162, 185, 8, 188, 205),
@@ -2765,6 +2927,42 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 115, 79, 102, 69, 114, 97, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 112, 101, 114, 97, 116, 111, 114),
+            ::capnp::word(115, 65, 115, 79, 102, 69, 114, 97),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 116, 97, 108, 111, 103, 86),
+            ::capnp::word(101, 114, 115, 105, 111, 110, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 111, 114, 101, 69, 114, 97),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2777,6 +2975,10 @@
                 6 => <::capnp::struct_list::Owned<crate::peer_capnp::start::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::struct_list::Owned<crate::peer_capnp::answered::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                12 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2790,9 +2992,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,1,4,5,7,0,3,2,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,1,9,11,4,5,7,10,0,12,3,2,6];
         pub(crate) const TYPE_ID: u64 = 0xb1f4_f932_5bcf_9934;
     }
 }
--- a/dev/bench/src/scale.rs
+++ b/dev/bench/src/scale.rs
@@ -92,7 +92,7 @@
     for number in 0..entries {
         let entry = serde_json::json!({"zone": "z", "peer": "127.0.0.1:9000", "draining": false});
         let domain = serde_json::to_string(&domain_row(options, number)?)?;
-        let revision = Revision(2 * number as u64 + 1);
+        let revision = Revision::from(2 * number as u64 + 1);
         rows.push(CacheRow {
             key: Key::new("shared/entry/", owner(number)?),
             revision,
@@ -100,7 +100,7 @@
         });
         rows.push(CacheRow {
             key: Key::new("shared/domain/", format!("d{number}")),
-            revision: Revision(revision.0 + 1),
+            revision: Revision::from(revision.version + 1),
             value: Some(domain.into()),
         });
     }
@@ -118,9 +118,9 @@
 
 fn measure(options: &Options, entries: usize) -> eyre::Result<Row> {
     let pid = i32::try_from(std::process::id())?;
-    let as_of = Revision(2 * entries as u64);
+    let as_of = Revision::from(2 * entries as u64);
     let delta = Delta {
-        since: Revision(0),
+        since: Revision::from(0),
         as_of,
         rows: rows(options, entries)?,
     };
@@ -137,18 +137,18 @@
     let first_read_ms = begin.elapsed().as_secs_f64() * 1e3;
     let memory_bytes = usage::read(pid)?.memory.saturating_sub(before);
     let change = serde_json::to_string(&domain_row(options, 0)?)?;
-    let mut revision = as_of.0;
+    let mut revision = as_of.version;
     let one_change_us = mean_time_us(|| {
-        let since = Revision(revision);
+        let since = Revision::from(revision);
         revision += 1;
         let row = CacheRow {
             key: Key::new("shared/domain/", "d0"),
-            revision: Revision(revision),
+            revision: Revision::from(revision),
             value: Some(change.clone().into()),
         };
         let record: Option<DomainRow> = serde_json::from_str(&change).ok();
         black_box(record);
-        let as_of = Revision(revision);
+        let as_of = Revision::from(revision);
         let rows = vec![row];
         cache.merge(Delta { since, as_of, rows });
     });
--- a/dev/stand-in/src/demo.rs
+++ b/dev/stand-in/src/demo.rs
@@ -100,7 +100,7 @@
         body: pools,
     };
     Transaction::default()
-        .when(keys::routes(), Revision(0))
+        .when(keys::routes(), Revision::ABSENT)
         .put(keys::routes(), &routes)
         .put(keys::pools(), &pools)
         .put(keys::history("routes", first), &routes)
--- a/dev/stand-in/src/platform.rs
+++ b/dev/stand-in/src/platform.rs
@@ -56,7 +56,7 @@
         if !failed.is_empty() {
             return Outcome::Conflict(failed);
         }
-        self.revision = Revision(self.revision.0 + 1);
+        self.revision = Revision::from(self.revision.version + 1);
         for write in transaction.writes {
             let row = Row {
                 key: write.key.clone(),
