--- a/crates/cyclamen-directory/src/registry.rs
+++ b/crates/cyclamen-directory/src/registry.rs
@@ -11,8 +11,8 @@
 
 /// How long an unlisted instance stays in the registry while it finishes its work.
 const DEPARTED_RETENTION: Duration = Duration::from_secs(12);
-/// How long a worker that said itself that it is leaving is remembered, should the list name it
-/// as ready again.
+/// How long a worker that said itself that it is leaving, or that left, is remembered, should the
+/// list name it as ready again.
 const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 /// How long after a store outage a removed instance may be listed again before the removal
 /// takes effect.
@@ -79,6 +79,8 @@
     unreliable_until: Option<Time>,
     /// Incarnations that said themselves that they are leaving, and when they first did.
     leaving: BTreeMap<instance::Id, (instance::Incarnation, Time)>,
+    /// Incarnations whose removal took effect, and when.
+    departed: BTreeMap<instance::Id, (instance::Incarnation, Time)>,
 }
 
 impl Registry {
@@ -143,6 +145,8 @@
         };
         if reliable {
             record.mark_departed(now);
+            let incarnation = record.instance.incarnation;
+            self.departed.insert(id.clone(), (incarnation, now));
         } else if record.departed_at.is_none() {
             record.removed_at.get_or_insert(now);
         }
@@ -163,8 +167,9 @@
     /// Removes instances whose retention has ended, and marks instances as departed that were not
     /// listed again after an outage; returns whether there were any.
     pub fn expire(&mut self, now: Time) -> bool {
-        self.leaving
-            .retain(|_, (_, at)| now.since(*at) < LEAVING_RETENTION);
+        let is_remembered = |at: Time| now.since(at) < LEAVING_RETENTION;
+        self.leaving.retain(|_, (_, at)| is_remembered(*at));
+        self.departed.retain(|_, (_, at)| is_remembered(*at));
         let before = self.records.len();
         let is_retained = |at: Time| now.since(at) < DEPARTED_RETENTION;
         self.records
@@ -176,6 +181,10 @@
         let mut departed = false;
         for record in self.records.values_mut().filter(|r| r.removed_at.is_some()) {
             record.mark_departed(now);
+            let Instance {
+                id, incarnation, ..
+            } = &*record.instance;
+            self.departed.insert(id.clone(), (*incarnation, now));
             departed = true;
         }
         dropped || departed
@@ -185,7 +194,9 @@
     /// one, to leave or to have left.
     pub fn is_obsolete(&self, instance: &Instance) -> bool {
         let Some(record) = self.records.get(&instance.id) else {
-            return self.is_leaving(&instance.id, instance.incarnation);
+            let departed = self.departed.get(&instance.id);
+            return self.is_leaving(&instance.id, instance.incarnation)
+                || departed.is_some_and(|(last, _)| instance.incarnation <= *last);
         };
         match instance.incarnation.cmp(&record.instance.incarnation) {
             Ordering::Less => true,
--- a/crates/cyclamen-gateway/src/frontend.rs
+++ b/crates/cyclamen-gateway/src/frontend.rs
@@ -68,9 +68,13 @@
         let targets = state.target_counts();
         let ages = FOLLOWED_TABLES.map(|table| (table, state.table_age(now, table)));
         let contained = state.strikes.contained().len();
+        let owned_domains = state.ownership.planners.len();
+        let era = state.era;
         drop(state);
         self.0.metrics.record_targets(&targets);
         self.0.metrics.record_contained_parts(contained);
+        self.0.metrics.record_owned_domains(owned_domains);
+        self.0.metrics.record_store_era(era);
         for (table, age) in ages {
             self.0.metrics.record_table_age(table, age);
         }
--- a/crates/cyclamen-gateway/src/metrics.rs
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cyclamen_cache::Era;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -28,6 +29,8 @@
     targets: Gauge<u64>,
     table_age: Gauge<f64>,
     contained_parts: Gauge<u64>,
+    owned_domains: Gauge<u64>,
+    store_era: Gauge<u64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
 }
@@ -54,6 +57,8 @@
             crashes: meter.u64_counter("worker_crashes").build(),
             targets: meter.u64_gauge("targets").build(),
             contained_parts: meter.u64_gauge("contained_parts").build(),
+            owned_domains: meter.u64_gauge("owned_domains").build(),
+            store_era: meter.u64_gauge("store_era").build(),
             table_age: meter.f64_gauge("table_age").with_unit("s").build(),
             first_byte: latency_histogram("first_byte"),
             duration: latency_histogram("request_duration"),
@@ -124,6 +129,16 @@
         self.contained_parts.record(count as u64, &[]);
     }
 
+    /// Records how many fabric domains this entry owns.
+    pub(crate) fn record_owned_domains(&self, count: usize) {
+        self.owned_domains.record(count as u64, &[]);
+    }
+
+    /// Records the highest era of the store that this entry has heard of.
+    pub(crate) fn record_store_era(&self, era: Era) {
+        self.store_era.record(era.0, &[]);
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> String {
         let encoder = prometheus::TextEncoder::new();
