--- a/crates/cyclamen-directory/tests/directory.rs
+++ b/crates/cyclamen-directory/tests/directory.rs
@@ -208,3 +208,70 @@
     registry.upsert(at(60_100), restarted);
     assert_eq!(ready(&registry), ["w1"]);
 }
+
+/// What happened to the second incarnation of an instance.
+#[derive(Debug, Clone, Copy)]
+enum Past {
+    Unknown,
+    Listed,
+    Draining,
+    Removed,
+    /// Removed so long ago that its record is dropped.
+    Forgotten,
+    SaidLeaving,
+}
+
+fn registry_after(past: Past) -> Registry {
+    let mut registry = Registry::default();
+    let id = "w".parse().unwrap();
+    let second = instance::Incarnation(2);
+    let listed = Instance {
+        incarnation: second,
+        ..instance("w")
+    };
+    if !matches!(past, Past::Unknown) {
+        registry.upsert(at(0), listed.clone());
+    }
+    match past {
+        Past::Unknown | Past::Listed => {}
+        Past::Draining => {
+            let status = Status::Leaving;
+            registry.upsert(at(10), Instance { status, ..listed });
+        }
+        Past::Removed => registry.remove(at(10), &id),
+        Past::Forgotten => {
+            registry.remove(at(10), &id);
+            assert!(registry.expire(at(60_000)));
+        }
+        Past::SaidLeaving => assert!(registry.record_leaving(at(10), &id, second)),
+    }
+    registry
+}
+
+/// Names a test for each past of the second incarnation, with the incarnations of which a row is
+/// obsolete then.
+macro_rules! obsolete {
+    ($($name:ident: $past:expr => $incarnations:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let registry = registry_after($past);
+                let obsolete = (1..4).filter(|number| {
+                    let incarnation = instance::Incarnation(*number);
+                    registry.is_obsolete(&Instance { incarnation, ..instance("w") })
+                });
+                let expected: &[u64] = &$incarnations;
+                assert_eq!(obsolete.collect::<Vec<_>>(), expected);
+            }
+        )*
+    };
+}
+
+obsolete! {
+    rows_of_an_unknown_instance: Past::Unknown => [];
+    rows_of_a_listed_instance: Past::Listed => [1];
+    rows_of_a_draining_instance: Past::Draining => [1, 2];
+    rows_of_a_removed_instance: Past::Removed => [1, 2];
+    rows_of_an_instance_removed_long_ago: Past::Forgotten => [1, 2];
+    rows_of_an_instance_that_said_it_is_leaving: Past::SaidLeaving => [1, 2];
+}
--- a/crates/cyclamen-gateway/src/node/era.rs
+++ b/crates/cyclamen-gateway/src/node/era.rs
@@ -45,7 +45,7 @@
         });
         self.registry.record_outage(now);
         self.stored_parts = None;
-        self.lease.record_loss();
+        self.lease.discard();
         self.lease_revision = None;
         let spread = self.renewal_spread();
         let renewal_at = now + self.rng.random_range(Duration::ZERO..=spread);
--- a/crates/cyclamen-gateway/src/tasks/lease.rs
+++ b/crates/cyclamen-gateway/src/tasks/lease.rs
@@ -7,6 +7,7 @@
 use cyclamen_cache::Revision;
 use cyclamen_types::{Time, entry, zone};
 use rand::Rng;
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 
 use crate::node::{Node, Peer, State};
@@ -16,6 +17,10 @@
 /// The renewal interval of an entry that owns no domain.
 const IDLE_RENEWAL_INTERVAL: Duration = Duration::from_secs(10);
 
+/// The number of domains whose rows a renewal verifies; the store bounds the size of a
+/// transaction.
+const MAX_DOMAIN_CONDITIONS: usize = 64;
+
 /// The stored row of an entry; writing it again renews the entry's lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Row {
@@ -47,7 +52,7 @@
         return;
     };
     let mut conditions = vec![(Table::Entries, key.clone(), revision)];
-    conditions.extend(node.state().ownership.conditions());
+    conditions.extend(domain_conditions(&mut node.state()));
     let transaction = Transaction {
         conditions,
         puts: vec![(Table::Entries, key, value)],
@@ -78,6 +83,13 @@
     !idle || now >= state.ownership.idle_renewal_at
 }
 
+/// Returns the conditions that the rows of owned domains are unchanged; of some of them, chosen
+/// anew each time, if they are many.
+fn domain_conditions(state: &mut State) -> Vec<(Table, Arc<str>, Revision)> {
+    let conditions = state.ownership.conditions();
+    conditions.choose_multiple(&mut state.rng, MAX_DOMAIN_CONDITIONS)
+}
+
 /// Returns the key, the value and the last known revision of this entry's row.
 fn own_row(node: &Node) -> Option<(Arc<str>, Arc<str>, Revision)> {
     let state = node.state();
--- a/crates/cyclamen-lease/src/holder.rs
+++ b/crates/cyclamen-lease/src/holder.rs
@@ -45,6 +45,11 @@
         );
     }
 
+    /// Discards the lease because its renewals are lost; the next one is due at once.
+    pub fn discard(&mut self) {
+        *self = Self::new(self.options);
+    }
+
     /// Records that the row was deleted or replaced by another entry.
     pub fn record_loss(&mut self) {
         self.expires_at = None;
