feat: read Server-Leaving from probes and orders, and tell other entries

A notice counted only in responses to callers, and only for the gateway that got it, so others sent work until the list or a response of their own told them. Any response of a worker tells it now, and gossip carries what was learned in the last 5 s; an entry that learns it so tells it on. A notice of a former incarnation does not replace that of a later one.

--- a/crates/cyclamen-directory/src/registry.rs
+++ b/crates/cyclamen-directory/src/registry.rs
@@ -90,14 +90,15 @@
     }
 
     /// Records that an instance said itself that it is leaving, whatever the list says of this
-    /// incarnation; returns whether that is new.
+    /// incarnation; returns whether that is new. A former incarnation is ignored.
     pub fn record_leaving(
         &mut self,
         now: Time,
         id: &instance::Id,
         incarnation: instance::Incarnation,
     ) -> bool {
-        if self.is_leaving(id, incarnation) {
+        let known = self.leaving.get(id);
+        if known.is_some_and(|(known, _)| *known >= incarnation) {
             return false;
         }
         self.leaving.insert(id.clone(), (incarnation, now));
@@ -111,6 +112,19 @@
         true
     }
 
+    /// Returns the incarnations that first said within the given time that they are leaving.
+    pub fn leaving_since(
+        &self,
+        now: Time,
+        within: Duration,
+    ) -> impl Iterator<Item = (&instance::Id, instance::Incarnation)> {
+        let recent = self
+            .leaving
+            .iter()
+            .filter(move |(_, (_, at))| now.since(*at) < within);
+        recent.map(|(id, (incarnation, _))| (id, *incarnation))
+    }
+
     fn is_leaving(&self, id: &instance::Id, incarnation: instance::Incarnation) -> bool {
         let leaving = self.leaving.get(id);
         leaving.is_some_and(|(known, _)| *known == incarnation)
--- a/crates/cyclamen-gateway/src/frontend/response.rs
+++ b/crates/cyclamen-gateway/src/frontend/response.rs
@@ -4,9 +4,11 @@
 
 use cyclamen_dispatch::Dispatch;
 use cyclamen_http::StreamingResponse;
+use cyclamen_replica::Start;
 use trillium::KnownHeaderName;
 
 use crate::frontend::request::Request;
+use crate::tasks::record_leaving;
 
 /// What the head of a worker's response implies about the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,8 +38,12 @@
     let node = &request.node;
     let now = node.now();
     let is_leaving = response.headers.has_header(node.platform.dialect().leaving);
-    if is_leaving && node.state().record_leaving(now, &dispatch.target) {
-        node.wake_planner();
+    if is_leaving {
+        let worker = Start {
+            instance: dispatch.target.instance.clone(),
+            incarnation: dispatch.target.incarnation,
+        };
+        record_leaving(node, &worker);
     }
     if response.status != 503 {
         return;
--- a/crates/cyclamen-gateway/src/node/suspicions.rs
+++ b/crates/cyclamen-gateway/src/node/suspicions.rs
@@ -1,6 +1,7 @@
 //! What this entry finds out about workers by itself or hears from other entries.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cyclamen_directory::Instance;
 use cyclamen_dispatch::Target;
@@ -9,6 +10,11 @@
 
 use crate::node::State;
 
+/// How long other entries are told of a worker that said that it is leaving.
+const LEAVING_GOSSIP_DURATION: Duration = Duration::from_secs(5);
+/// The maximum number of leaving workers in a gossip message.
+const MAX_LEAVING: usize = 64;
+
 impl State {
     /// Records that a worker failed its probes; returns whether the suspicion is new.
     pub(crate) fn suspect(&mut self, now: Time, start: &Start) -> bool {
@@ -36,10 +42,11 @@
         }
     }
 
-    /// Records that a worker said in a response that it is leaving: it gets no new requests from
-    /// this entry, whatever the list says of this incarnation. Returns whether that is new.
-    pub(crate) fn record_leaving(&mut self, now: Time, target: &Target) -> bool {
-        let (id, incarnation) = (&target.instance, target.incarnation);
+    /// Records that a worker said that it is leaving, to this entry or another: it gets no new
+    /// requests from this entry, whatever the list says of this incarnation. Returns whether that
+    /// is new.
+    pub(crate) fn record_leaving(&mut self, now: Time, worker: &Start) -> bool {
+        let (id, incarnation) = (&worker.instance, worker.incarnation);
         let is_new = self.registry.record_leaving(now, id, incarnation);
         if is_new {
             log::info!("event=instance_leaving instance={id} incarnation={incarnation}");
@@ -48,6 +55,16 @@
         is_new
     }
 
+    /// Returns the workers that said lately that they are leaving, to tell other entries.
+    pub(crate) fn leaving_to_gossip(&self, now: Time) -> Vec<Start> {
+        let leaving = self.registry.leaving_since(now, LEAVING_GOSSIP_DURATION);
+        let starts = leaving.map(|(id, incarnation)| Start {
+            instance: id.clone(),
+            incarnation,
+        });
+        starts.take(MAX_LEAVING).collect()
+    }
+
     /// Records that the group that a target heads makes progress on a request: none of its members
     /// has failed, even if it does not respond to probes in time.
     pub(crate) fn record_progress(&mut self, now: Time, target: &Target) {
--- a/crates/cyclamen-gateway/src/platform.rs
+++ b/crates/cyclamen-gateway/src/platform.rs
@@ -21,6 +21,15 @@
 /// A boxed future that can be sent between threads.
 pub type BoxFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
+/// What a worker responded, or that it did not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Response<T> {
+    /// The result of the call.
+    pub result: T,
+    /// Whether the worker said that it is leaving.
+    pub is_leaving: bool,
+}
+
 /// The store and the workers of a platform, and its names of headers and paths.
 pub trait Platform: Send + Sync + 'static {
     /// Returns the names of headers and paths.
@@ -51,8 +60,8 @@
     fn decode(&self, row: &Row) -> Result<Record, DecodeError>;
 
     /// Sends an order to a worker.
-    fn order(&self, command: &Command) -> BoxFuture<Outcome>;
+    fn order(&self, command: &Command) -> BoxFuture<Response<Outcome>>;
 
     /// Probes a worker; returns whether it responded within the timeout.
-    fn probe(&self, address: SocketAddr, timeout: Duration) -> BoxFuture<bool>;
+    fn probe(&self, address: SocketAddr, timeout: Duration) -> BoxFuture<Response<bool>>;
 }
--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -21,7 +21,7 @@
 pub(crate) use crash::{Suspect, confirm as confirm_crash};
 pub(crate) use gossip::{gossip_now, respond as respond_gossip};
 pub(crate) use lease::resign;
-pub(crate) use probe::probe_group;
+pub(crate) use probe::{probe_group, record_leaving};
 
 /// The interval at which the lease is checked for a due renewal.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/cyclamen-gateway/src/tasks/crash.rs
+++ b/crates/cyclamen-gateway/src/tasks/crash.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cyclamen_dispatch::Target;
+use cyclamen_replica::Start;
 use cyclamen_route::containment::{Crash, Fingerprint, Part, Strike};
 use cyclamen_types::group::Fence;
 
@@ -32,7 +33,11 @@
     let node = node.clone();
     let target = target.clone();
     let confirming = async move {
-        let responds = responds(&node, target.address, INITIAL_PROBES).await;
+        let worker = Start {
+            instance: target.instance.clone(),
+            incarnation: target.incarnation,
+        };
+        let responds = responds(&node, &worker, target.address, INITIAL_PROBES).await;
         log(&target, &suspect, responds);
         if responds {
             return;
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -168,6 +168,10 @@
         // The entry is new: reset the read time so that its address is read from its row.
         state.ownership.read_at = None;
     }
+    let mut left = false;
+    for worker in &received.leaving {
+        left |= state.record_leaving(now, worker);
+    }
     let sender = received.sender.entry;
     state
         .dispatcher
@@ -195,7 +199,7 @@
     for worker in to_probe {
         probe_worker(node, worker, INITIAL_PROBES);
     }
-    if has_rows {
+    if has_rows || left {
         node.wake_planner();
     }
 }
--- a/crates/cyclamen-gateway/src/tasks/gossip/message.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip/message.rs
@@ -92,6 +92,7 @@
         strikes,
         delta: Delta::default(),
         loads: state.dispatcher.loads(),
+        leaving: state.leaving_to_gossip(now),
         suspected: state.detector.local_suspicions(now).cloned().collect(),
     }
 }
--- a/crates/cyclamen-gateway/src/tasks/plan.rs
+++ b/crates/cyclamen-gateway/src/tasks/plan.rs
@@ -12,7 +12,7 @@
 use crate::node::{Node, State};
 use crate::settings::millis;
 use crate::tasks::ownership;
-use crate::tasks::probe::{INITIAL_PROBES, probe_worker};
+use crate::tasks::probe::{INITIAL_PROBES, probe_worker, record_leaving};
 
 /// Plans when woken by a change, and at least once per planning interval.
 pub(super) async fn run(node: Arc<Node>) {
@@ -122,7 +122,8 @@
 }
 
 async fn send_order(node: Arc<Node>, command: Command) {
-    let outcome = node.platform.order(&command).await;
+    let response = node.platform.order(&command).await;
+    let outcome = response.result;
     let kind = command.order.kind();
     let label = outcome.kind();
     node.metrics.record_order(kind, label);
@@ -135,6 +136,9 @@
     let Some(worker) = record_outcome(&node, &command, outcome) else {
         return;
     };
+    if response.is_leaving {
+        record_leaving(&node, &Start::from(worker.as_ref()));
+    }
     match outcome {
         Outcome::Accepted => {}
         Outcome::Unreachable | Outcome::Lost => probe_worker(&node, worker, INITIAL_PROBES),
--- a/crates/cyclamen-gateway/src/tasks/probe.rs
+++ b/crates/cyclamen-gateway/src/tasks/probe.rs
@@ -59,7 +59,7 @@
     let node = node.clone();
     let probing = async move {
         let start = Start::from(worker.as_ref());
-        if responds(&node, worker.address, probes).await {
+        if responds(&node, &start, worker.address, probes).await {
             let now = node.now();
             node.state().restore(now, &start);
             return;
@@ -75,16 +75,33 @@
 }
 
 /// Probes a worker up to `probes` times; returns whether it responds.
-pub(super) async fn responds(node: &Arc<Node>, address: SocketAddr, probes: u32) -> bool {
+pub(super) async fn responds(
+    node: &Arc<Node>,
+    worker: &Start,
+    address: SocketAddr,
+    probes: u32,
+) -> bool {
     let timeout = millis(node.settings.timing.report_timeout_ms);
     for _ in 0..probes {
-        if node.platform.probe(address, timeout).await {
+        let response = node.platform.probe(address, timeout).await;
+        if response.is_leaving {
+            record_leaving(node, worker);
+        }
+        if response.result {
             return true;
         }
     }
     false
 }
 
+/// Records that a worker said in a response that it is leaving, and tells other entries.
+pub(crate) fn record_leaving(node: &Arc<Node>, worker: &Start) {
+    if node.state().record_leaving(node.now(), worker) {
+        gossip_now(node);
+        node.wake_planner();
+    }
+}
+
 /// Probes suspected workers again, as well as unlisted members of groups in the domains that
 /// this entry owns, which may be finishing their work or have failed.
 pub(super) fn reprobe(node: &Arc<Node>) {
--- a/crates/cyclamen-peer/schema/peer.capnp
+++ b/crates/cyclamen-peer/schema/peer.capnp
@@ -79,6 +79,8 @@
   # The version of the operators' configuration that is in force at the sender.
   storeEra @12 :UInt64;
   # The highest era of the store that the sender knows.
+  leaving @13 :List(Start);
+  # Starts of workers that said lately that they are leaving.
 }
 
 struct Ask {
--- a/crates/cyclamen-peer/src/decode.rs
+++ b/crates/cyclamen-peer/src/decode.rs
@@ -140,6 +140,11 @@
             .iter()
             .map(start)
             .collect::<Result<_, _>>()?,
+        leaving: from
+            .get_leaving()?
+            .iter()
+            .map(start)
+            .collect::<Result<_, _>>()?,
     })
 }
 
