--- a/crates/cyclamen-gateway/src/frontend/response.rs
+++ b/crates/cyclamen-gateway/src/frontend/response.rs
@@ -48,9 +48,8 @@
     if response.status != 503 {
         return;
     }
-    let seconds = response.headers.get_str(KnownHeaderName::RetryAfter);
-    let seconds = seconds.and_then(|text| text.trim().parse::<f64>().ok());
-    if let Some(pause) = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok()) {
+    let retry_after = response.headers.get_str(KnownHeaderName::RetryAfter);
+    if let Some(pause) = retry_after.and_then(pause) {
         log::info!(
             "event=worker_paused instance={} pause_ms={}",
             dispatch.target.instance,
@@ -60,6 +59,14 @@
     }
 }
 
+/// Returns the pause for which a value of `Retry-After` asks; none if it is not a finite number of
+/// seconds above zero.
+fn pause(retry_after: &str) -> Option<Duration> {
+    let seconds: f64 = retry_after.trim().parse().ok()?;
+    let is_pause = seconds.is_finite() && seconds > 0.0;
+    is_pause.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// Classifies a worker's response by its head.
 pub(crate) fn classify(request: &Request, response: &StreamingResponse) -> Class {
     let dialect = request.node.platform.dialect();
