fix: an owner that only the copy names waits for the leases of the former era

The row of a copy may name an owner before the last one, which may still act on a lease of the former era; only the last owner takes its domain again at once.

--- a/crates/cyclamen-gateway/src/node/ownership.rs
+++ b/crates/cyclamen-gateway/src/node/ownership.rs
@@ -101,11 +101,16 @@
 
     /// Returns whether a domain belongs to `local`: its row says so, or the row was lost with the
     /// former era of the store, in which `local` owned the domain.
-    pub(crate) fn names_owner(&self, domain: &domain::Name, local: &Owner) -> bool {
-        match self.owner_rows.get(domain) {
+    ///
+    /// The row of a copy may name an owner before the last one, which then counts only when the
+    /// last one's lease has expired.
+    pub(crate) fn is_owner(&self, now: Time, domain: &domain::Name, local: &Owner) -> bool {
+        let formerly = self.formerly_owned.contains(domain);
+        let is_named = match self.owner_rows.get(domain) {
             Some(row) => row.owner == *local,
-            None => self.read_domains_at.is_none() && self.formerly_owned.contains(domain),
-        }
+            None => self.read_domains_at.is_none() && formerly,
+        };
+        is_named && (formerly || self.allows_takeovers(now))
     }
 
     /// Returns whether a domain may be taken over by another entry than its owner in the former
--- a/crates/cyclamen-gateway/src/tasks/ownership.rs
+++ b/crates/cyclamen-gateway/src/tasks/ownership.rs
@@ -113,7 +113,7 @@
     let allowed = ownership.allows_takeovers(now);
     let domains = ownership.candidates.iter();
     let to_take_over = domains.filter(|(name, candidates)| {
-        let is_own = ownership.names_owner(name, &state.local);
+        let is_own = ownership.is_owner(now, name, &state.local);
         let is_free = allowed && is_first(candidates) && is_unowned(name);
         !ownership.planners.contains_key(*name) && (is_own || is_free)
     });
