--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -1,15 +1,20 @@
 //! Load-aware selection among the workers that accept requests.
 
+mod rejections;
+mod worker;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use cyclamen_types::{Time, group, instance};
 use rand::Rng;
 
-use crate::limiter::{Limiter, Position};
+use crate::limiter::Limiter;
 use crate::options::Options;
 use crate::pauses::Pauses;
-use crate::request::{Criteria, Dispatch, Load, Outcome, Reason, Refusal, Target};
+use crate::request::{Criteria, Dispatch, Load, Outcome, Refusal, Target};
+use rejections::Rejections;
+use worker::{InProgress, Worker};
 
 /// Additional cost of a worker that recently failed or shed a request, in multiples of the latency
 /// goal.
@@ -18,35 +23,6 @@
 const TIE_BREAK_COST: f64 = 0.02;
 /// A worker may queue up to its number of slots divided by this.
 const QUEUE_DIVISOR: u32 = 4;
-/// Retry delay for callers that are refused because all workers are cold and this entry's quotas
-/// are used up.
-const COLD_RETRY_DELAY: Duration = Duration::from_millis(500);
-
-/// Requests in progress on a worker, and the queued prompt tokens among them.
-#[derive(Debug, Clone, Copy, Default)]
-struct InProgress {
-    running: u32,
-    backlog: u64,
-}
-
-impl InProgress {
-    fn plus(self, other: Self) -> Self {
-        Self {
-            running: self.running + other.running,
-            backlog: self.backlog + other.backlog,
-        }
-    }
-}
-
-/// A worker and the load that this entry has put on it.
-#[derive(Debug)]
-struct Worker {
-    target: Target,
-    in_progress: InProgress,
-    limiter: Limiter,
-    last_failure: Option<Time>,
-}
-
 type WorkerKey = (instance::Id, group::Fence);
 
 /// Selects workers for requests and tracks the load on them.
@@ -245,48 +221,6 @@
     }
 }
 
-impl Worker {
-    fn matches(&self, criteria: &Criteria<'_>) -> bool {
-        let target = &self.target;
-        let serves = target.service == *criteria.service && target.model.as_ref() == criteria.model;
-        serves && !criteria.exclude.contains(&target.instance)
-    }
-
-    /// Returns the forecast wait for the first part of a response.
-    fn forecast_wait(&self, in_progress: InProgress, tokens: u64, options: &Options) -> Duration {
-        match &self.target.forecast {
-            Some(forecast) => {
-                let running = in_progress.running.min(self.target.slots);
-                options.overhead + forecast.wait(in_progress.backlog, tokens, running)
-            }
-            None => {
-                let slots = f64::from(self.target.slots.max(1));
-                options
-                    .plain_service_time
-                    .mul_f64(f64::from(in_progress.running) / slots)
-            }
-        }
-    }
-
-    /// Returns whether a cold worker may get one more request from this entry; one that is not
-    /// cold always may.
-    fn is_within_cold_limit(&mut self, now: Time, position: Position) -> bool {
-        match self.target.cold {
-            Some((until, per_second)) if now < until => {
-                let quota = position.quota(per_second as usize, self.quota_offset());
-                self.limiter.allows(now, quota)
-            }
-            _ => true,
-        }
-    }
-
-    /// Returns an offset that varies by worker and is the same on every entry.
-    fn quota_offset(&self) -> usize {
-        let bytes = self.target.instance.as_str().bytes();
-        bytes.map(usize::from).sum()
-    }
-}
-
 impl Options {
     /// Returns whether a worker may get the request.
     ///
@@ -334,40 +268,3 @@
         wait.as_secs_f64() / goal + locality + failure
     }
 }
-
-/// Why matching workers were rejected.
-#[derive(Debug, Default)]
-struct Rejections {
-    workers: usize,
-    least_wait: Option<Duration>,
-    cold: bool,
-    /// The shortest remaining pause.
-    pause: Option<Duration>,
-}
-
-impl Rejections {
-    fn record_overloaded(&mut self, wait: Duration) {
-        self.least_wait = Some(self.least_wait.map_or(wait, |least| least.min(wait)));
-    }
-
-    fn record_pause(&mut self, remaining: Duration) {
-        self.pause = Some(self.pause.map_or(remaining, |least| least.min(remaining)));
-    }
-
-    /// Returns the refusal; if workers are overloaded, its retry delay is the time after which the
-    /// shortest forecast wait should have fallen to half the latency goal.
-    fn refusal(self, criteria: &Criteria<'_>, options: &Options) -> Refusal {
-        let (reason, wait) = match (self.least_wait, self.cold, self.pause) {
-            (Some(wait), ..) => (Reason::Overloaded, wait.saturating_sub(criteria.goal / 2)),
-            (None, true, _) => (Reason::Cold, COLD_RETRY_DELAY),
-            (None, false, Some(remaining)) => (Reason::Paused, remaining),
-            (None, false, None) => (Reason::NoWorker, options.min_retry_after * 2),
-        };
-        Refusal {
-            reason,
-            workers: self.workers,
-            least_wait: self.least_wait,
-            retry_after: wait.max(options.min_retry_after),
-        }
-    }
-}
--- /dev/null
+++ b/crates/cyclamen-dispatch/src/dispatcher/worker.rs
@@ -0,0 +1,81 @@
+//! A worker and the load on it.
+
+use std::time::Duration;
+
+use cyclamen_types::Time;
+
+use crate::limiter::{Limiter, Position};
+use crate::options::Options;
+use crate::request::{Criteria, Target};
+
+/// Requests in progress on a worker, and the queued prompt tokens among them.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct InProgress {
+    pub(super) running: u32,
+    pub(super) backlog: u64,
+}
+
+impl InProgress {
+    pub(super) fn plus(self, other: Self) -> Self {
+        Self {
+            running: self.running + other.running,
+            backlog: self.backlog + other.backlog,
+        }
+    }
+}
+
+/// A worker and the load that this entry has put on it.
+#[derive(Debug)]
+pub(super) struct Worker {
+    pub(super) target: Target,
+    pub(super) in_progress: InProgress,
+    pub(super) limiter: Limiter,
+    pub(super) last_failure: Option<Time>,
+}
+
+impl Worker {
+    pub(super) fn matches(&self, criteria: &Criteria<'_>) -> bool {
+        let target = &self.target;
+        let serves = target.service == *criteria.service && target.model.as_ref() == criteria.model;
+        serves && !criteria.exclude.contains(&target.instance)
+    }
+
+    /// Returns the forecast wait for the first part of a response.
+    pub(super) fn forecast_wait(
+        &self,
+        in_progress: InProgress,
+        tokens: u64,
+        options: &Options,
+    ) -> Duration {
+        match &self.target.forecast {
+            Some(forecast) => {
+                let running = in_progress.running.min(self.target.slots);
+                options.overhead + forecast.wait(in_progress.backlog, tokens, running)
+            }
+            None => {
+                let slots = f64::from(self.target.slots.max(1));
+                options
+                    .plain_service_time
+                    .mul_f64(f64::from(in_progress.running) / slots)
+            }
+        }
+    }
+
+    /// Returns whether a cold worker may get one more request from this entry; one that is not
+    /// cold always may.
+    pub(super) fn is_within_cold_limit(&mut self, now: Time, position: Position) -> bool {
+        match self.target.cold {
+            Some((until, per_second)) if now < until => {
+                let quota = position.quota(per_second as usize, self.quota_offset());
+                self.limiter.allows(now, quota)
+            }
+            _ => true,
+        }
+    }
+
+    /// Returns an offset that varies by worker and is the same on every entry.
+    fn quota_offset(&self) -> usize {
+        let bytes = self.target.instance.as_str().bytes();
+        bytes.map(usize::from).sum()
+    }
+}
