--- a/crates/cyclamen-domain/src/domain.rs
+++ b/crates/cyclamen-domain/src/domain.rs
@@ -1,5 +1,7 @@
 //! State and decisions of a fabric domain's owner.
 
+mod granting;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -7,20 +9,17 @@
 use cyclamen_tables::pools::Limits;
 use cyclamen_types::{Time, domain, group, instance, pool};
 
-use crate::admission::{Decision, Ending, Grant, Refusal, Request};
 use crate::listing::Listing;
-use crate::load::{IssuedTicket, Load};
+use crate::load::Load;
 use crate::monitor::{Health, Monitor};
 use crate::options::Options;
 use crate::plan::{Step, View};
-use crate::queue::{Queue, QueueId};
+use crate::queue::Queue;
 use crate::report::Report;
 use crate::row::{Group, Owner, Row};
 
 /// The mean service time assumed before the first request has completed.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_secs(2);
-/// The inverse weight of a new sample in the exponential moving average of the service time.
-const SERVICE_TIME_WINDOW: u32 = 16;
 
 /// A fabric domain: its row, the health and load of its groups and its admission queue.
 ///
@@ -150,85 +149,6 @@
             .map_or(0, |load| load.limit(now, &limits))
     }
 
-    /// Decides on a request for admission; `lease_held` is whether the owner's lease is valid.
-    ///
-    /// Without a valid lease only groups at their full warm limit get requests.
-    pub fn admit(
-        &mut self,
-        now: Time,
-        request: Request,
-        pools: &Pools,
-        lease_held: bool,
-    ) -> Decision {
-        self.refresh(now, pools);
-        if !self.serves(&request.pool) {
-            return Decision::Refused(Refusal::NotServing);
-        }
-        let ahead = self.queue.count_ahead(&request);
-        if ahead == 0
-            && let Some(grant) = self.try_grant(now, &request, pools, lease_held)
-        {
-            return Decision::Granted(grant);
-        }
-        let wait = self.expected_wait(now, &request.pool, ahead, pools);
-        if now + wait > request.deadline {
-            return Decision::Refused(Refusal::Late(wait));
-        }
-        if !request.may_queue || self.queue.len() >= self.max_queue_len(&request.pool, pools) {
-            return Decision::Refused(Refusal::Busy(wait));
-        }
-        Decision::Queued(self.queue.push(request))
-    }
-
-    /// Removes the queued requests that can be granted or must be refused, and returns the
-    /// decisions.
-    pub fn poll_queue(
-        &mut self,
-        now: Time,
-        pools: &Pools,
-        lease_held: bool,
-    ) -> Vec<(QueueId, Decision)> {
-        self.refresh(now, pools);
-        let mut queue = std::mem::take(&mut self.queue);
-        let decisions = queue.drain(|request| {
-            if now >= request.deadline {
-                return Some(Decision::Refused(Refusal::Late(self.service_time)));
-            }
-            if !self.serves(&request.pool) {
-                return Some(Decision::Refused(Refusal::NotServing));
-            }
-            self.try_grant(now, request, pools, lease_held)
-                .map(Decision::Granted)
-        });
-        self.queue = queue;
-        decisions
-    }
-
-    /// Releases a ticket, whether it was issued or its request is still queued.
-    pub fn release(&mut self, now: Time, ticket: group::Ticket, ending: Ending, pools: &Pools) {
-        self.queue.retain(|request| request.ticket != ticket);
-        for (id, load) in &mut self.loads {
-            let Some(issued) = load.tickets.remove(&ticket) else {
-                continue;
-            };
-            let Some(group) = self.row.group(id) else {
-                return;
-            };
-            match ending {
-                Ending::Complete(first_byte) => {
-                    if first_byte > limits_of(pools, &group.pool).slow_start() {
-                        load.start_cold(now);
-                    }
-                    let sample = now.since(issued.at);
-                    self.service_time = smoothed(self.service_time, sample);
-                }
-                Ending::Failed => self.monitor.invalidate_reports(now, group),
-                Ending::Unused => {}
-            }
-            return;
-        }
-    }
-
     /// Releases the tickets and drops the queued requests of holders that are not alive.
     pub fn retain_holders(&mut self, is_alive: impl Fn(&Owner) -> bool) {
         self.queue.retain(|request| is_alive(&request.holder));
@@ -326,74 +246,12 @@
         let loads = self.groups_of(pool).filter_map(|g| self.loads.get(&g.id));
         loads.map(|load| load.free(now, &limits)).sum()
     }
-
-    /// Issues a ticket for the fitting group with the most free slots, if there is one.
-    fn try_grant(
-        &mut self,
-        now: Time,
-        request: &Request,
-        pools: &Pools,
-        lease_held: bool,
-    ) -> Option<Grant> {
-        let limits = limits_of(pools, &request.pool);
-        let fits = |load: &Load| {
-            let is_warm = load.limit(now, &limits) >= limits.warm;
-            let suspect_fits = !request.suspect || !load.has_suspect();
-            load.free(now, &limits) > 0 && (lease_held || is_warm) && suspect_fits
-        };
-        let loads = self
-            .groups_of(&request.pool)
-            .filter_map(|g| Some((g, self.loads.get(&g.id)?)));
-        let fitting = loads.filter(|(_, load)| fits(load));
-        let (group, _) = fitting.max_by_key(|(_, load)| load.free(now, &limits))?;
-        let first = group.members.first()?;
-        let grant = Grant {
-            ticket: request.ticket,
-            group: group.id.clone(),
-            fence: group.fence,
-            instance: first.instance.clone(),
-            address: self.monitor.listing(&first.instance)?.address,
-            start_within: self.options.start_within,
-        };
-        let issued = IssuedTicket {
-            at: now,
-            holder: request.holder.clone(),
-            suspect: request.suspect,
-        };
-        self.loads
-            .get_mut(&grant.group)?
-            .tickets
-            .insert(grant.ticket, issued);
-        Some(grant)
-    }
-
-    fn expected_wait(&self, now: Time, pool: &pool::Name, ahead: usize, pools: &Pools) -> Duration {
-        if ahead == 0 && self.free_in_pool(now, pool, pools) > 0 {
-            return Duration::ZERO;
-        }
-        let limits = limits_of(pools, pool);
-        let loads = self.groups_of(pool).filter_map(|g| self.loads.get(&g.id));
-        let capacity: u32 = loads.map(|load| load.limit(now, &limits)).sum();
-        self.service_time.saturating_mul(saturating_u32(ahead + 1)) / capacity.max(1)
-    }
-
-    fn max_queue_len(&self, pool: &pool::Name, pools: &Pools) -> usize {
-        let groups = saturating_u32(self.groups_of(pool).count());
-        let max_len = limits_of(pools, pool).warm * groups * self.options.queue_factor;
-        usize::try_from(max_len).unwrap_or(usize::MAX)
-    }
-}
-
-/// Returns the limits of a pool, or the defaults if the pool no longer exists and so gets no
-/// requests.
-fn limits_of(pools: &Pools, pool: &pool::Name) -> Limits {
-    pools.get(pool).map(|p| p.limits).unwrap_or_default()
 }
 
 fn saturating_u32(len: usize) -> u32 {
     u32::try_from(len).unwrap_or(u32::MAX)
 }
 
-fn smoothed(mean: Duration, sample: Duration) -> Duration {
-    (mean * (SERVICE_TIME_WINDOW - 1) + sample) / SERVICE_TIME_WINDOW
+fn limits_of(pools: &Pools, pool: &pool::Name) -> Limits {
+    pools.get(pool).map(|p| p.limits).unwrap_or_default()
 }
