fix: bound the memory of all responses, not only of each

Each buffered body may take 8 MiB and each incomplete event 1 MiB, so 200 bodies without end took a gateway to 304 MB (debug build, in a process of its own); the smallest machines have 160 MB. Bodies and events now share response_memory_mib (32): one that finds no room fails, 502 memory_spent or a broken stream, and isn't held against its worker. Parts of a body are joined at its end instead of growing one buffer.

--- a/crates/cyclamen-gateway/src/frontend/buffered.rs
+++ b/crates/cyclamen-gateway/src/frontend/buffered.rs
@@ -1,11 +1,11 @@
 //! Requests whose response is read completely before it is forwarded.
 
-use std::io;
 use std::time::Duration;
 
 use cyclamen_dispatch::{Dispatch, Outcome};
 use cyclamen_http::{Error, StreamingResponse};
-use futures::AsyncReadExt;
+use cyclamen_relay::Reservation;
+use futures::{AsyncRead, AsyncReadExt};
 use smol::Timer;
 use smol::future::or;
 use trillium::{Conn, Headers};
@@ -17,7 +17,9 @@
 use crate::tasks;
 
 /// The maximum size of a response body in memory, in bytes.
-const MAX_RESPONSE_BYTES: u64 = 8 << 20;
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// The number of bytes of a body that are read at once.
+const READ_BYTES: usize = 8 << 10;
 
 /// The retry delay sent to callers when no worker could be reached.
 const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -27,6 +29,7 @@
     status: u16,
     headers: Headers,
     body: Vec<u8>,
+    memory: Reservation,
 }
 
 /// Why an attempt has no response to forward.
@@ -43,6 +46,8 @@
     Unknown,
     /// The response is too large to be read into memory.
     TooLarge,
+    /// The responses in memory leave no room for this one.
+    NoMemory,
     /// The deadline has passed.
     TimedOut,
 }
@@ -59,6 +64,8 @@
     conn.set_status(response.status);
     conn.response_headers_mut().append_all(response.headers);
     conn.set_body(response.body);
+    // The state of the connection lives until the body is sent.
+    conn.insert_state(response.memory);
     Ok(())
 }
 
@@ -104,6 +111,10 @@
                 request.may_have_run = true;
                 return Err(Refusal::failed("response_too_large"));
             }
+            Err(Failure::NoMemory) => {
+                request.may_have_run = true;
+                return Err(Refusal::failed("memory_spent"));
+            }
             Err(Failure::TimedOut) => return Err(Refusal::deadline_exceeded()),
         }
     }
@@ -120,7 +131,7 @@
     in_progress.outcome = match &result {
         Ok(_) => Outcome::Complete,
         Err(Failure::NotRun) => Outcome::Shed,
-        Err(Failure::TimedOut) => Outcome::Cancelled,
+        Err(Failure::TimedOut | Failure::NoMemory) => Outcome::Cancelled,
         Err(_) => Outcome::Failed,
     };
     result
@@ -168,24 +179,46 @@
     request: &Request,
     mut response: StreamingResponse,
 ) -> Result<Response, Failure> {
-    let mut body = Vec::new();
-    let reading = async {
-        // One byte more than the maximum shows that the response is too large.
-        let mut limited = (&mut response.body).take(MAX_RESPONSE_BYTES + 1);
-        limited.read_to_end(&mut body).await
-    };
+    let reading = collect(
+        &mut response.body,
+        request.node.response_memory.reservation(),
+    );
     let timeout = async {
         Timer::after(request.remaining()).await;
-        Err(io::ErrorKind::TimedOut.into())
+        Err(Failure::TimedOut)
     };
-    match or(reading, timeout).await {
-        Ok(count) if count as u64 > MAX_RESPONSE_BYTES => Err(Failure::TooLarge),
-        Ok(_) => Ok(Response {
-            status: response.status,
-            headers: cyclamen_relay::end_to_end(&response.headers),
-            body,
-        }),
-        Err(error) if error.kind() == io::ErrorKind::TimedOut => Err(Failure::TimedOut),
-        Err(_) => Err(Failure::Closed),
+    let (body, memory) = or(reading, timeout).await?;
+    Ok(Response {
+        status: response.status,
+        headers: cyclamen_relay::end_to_end(&response.headers),
+        body,
+        memory,
+    })
+}
+
+/// Reads a body to its end, as far as the memory for it can be reserved.
+///
+/// The parts are joined at the end, since a buffer that grows is copied again and again.
+async fn collect(
+    mut reader: impl AsyncRead + Unpin,
+    mut memory: Reservation,
+) -> Result<(Vec<u8>, Reservation), Failure> {
+    let mut parts: Vec<Box<[u8]>> = Vec::new();
+    let mut len = 0;
+    let mut part = vec![0; READ_BYTES];
+    loop {
+        let count = reader.read(&mut part).await;
+        let count = count.map_err(|_| Failure::Closed)?;
+        if count == 0 {
+            return Ok((parts.concat(), memory));
+        }
+        len += count;
+        if len > MAX_RESPONSE_BYTES {
+            return Err(Failure::TooLarge);
+        }
+        if !memory.grow(count) {
+            return Err(Failure::NoMemory);
+        }
+        parts.push(part[..count].into());
     }
 }
--- a/crates/cyclamen-gateway/src/frontend/stream/connect.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/connect.rs
@@ -139,7 +139,7 @@
                 };
                 self.upstream = Some(Upstream {
                     last_event_at: self.request.node.now(),
-                    events: EventBuffer::default(),
+                    events: EventBuffer::new(&self.request.node.response_memory),
                     started_at: None,
                     response,
                     dispatch,
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -14,6 +14,7 @@
 
 use cyclamen_http::Client;
 use cyclamen_peer::Peers;
+use cyclamen_relay::Budget;
 use cyclamen_types::Time;
 
 use crate::clock::Clock;
@@ -33,6 +34,8 @@
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) http: Client,
     pub(crate) metrics: Metrics,
+    /// The memory that the bodies of responses share.
+    pub(crate) response_memory: Budget,
     /// Wakes the planner; the channel holds at most one wake-up.
     pub(crate) planner_wake_tx: async_channel::Sender<()>,
     pub(crate) planner_wake_rx: async_channel::Receiver<()>,
@@ -51,6 +54,7 @@
         Arc::new(Self {
             clock: Clock::start(),
             http: Client::new(cyclamen_http::Options::default()),
+            response_memory: Budget::new((settings.response_memory_mib as usize) << 20),
             state: Mutex::new(State::new(&settings)),
             peers: OnceLock::new(),
             settings,
--- a/crates/cyclamen-gateway/src/settings.rs
+++ b/crates/cyclamen-gateway/src/settings.rs
@@ -36,6 +36,19 @@
     /// The retry budget of each service.
     #[serde(default)]
     pub retries: Retries,
+    /// The memory that the bodies of responses and incomplete events of streams share, in MiB.
+    ///
+    /// A body that finds no room fails its request, and an event its stream; a body of more than
+    /// 8 MiB and an event of more than 1 MiB always do.
+    #[serde(default = "default_response_memory")]
+    pub response_memory_mib: u32,
+}
+
+/// Room for four bodies of the maximum size; buffers that grow may take twice as much.
+const DEFAULT_RESPONSE_MEMORY_MIB: u32 = 32;
+
+fn default_response_memory() -> u32 {
+    DEFAULT_RESPONSE_MEMORY_MIB
 }
 
 /// Timeouts and intervals of a gateway, in milliseconds.
--- a/crates/cyclamen-relay/src/events.rs
+++ b/crates/cyclamen-relay/src/events.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use crate::budget::{Budget, Reservation};
+
 /// Maximum size of the buffer, and thus of an event that is forwarded, in bytes.
 const MAX_BUFFER_BYTES: usize = 1 << 20;
 
@@ -14,13 +16,16 @@
     pub bytes: Vec<u8>,
 }
 
-/// The error for exceeding the maximum size of an [`EventBuffer`].
+/// The error for exceeding the maximum size of an [`EventBuffer`], or the memory that is left.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Overflow;
 
 impl fmt::Display for Overflow {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "event exceeds {MAX_BUFFER_BYTES} bytes")
+        write!(
+            f,
+            "event exceeds {MAX_BUFFER_BYTES} bytes or the memory left"
+        )
     }
 }
 
@@ -32,12 +37,24 @@
     buffer: Vec<u8>,
     /// The index from which the search for the end of an event continues.
     scan_from: usize,
+    /// The memory for the buffer, if it is limited.
+    memory: Option<Reservation>,
 }
 
 impl EventBuffer {
-    /// Appends received bytes; fails if the buffer would exceed its maximum size.
+    /// Creates an empty buffer whose bytes count towards a budget.
+    pub fn new(budget: &Budget) -> Self {
+        Self {
+            memory: Some(budget.reservation()),
+            ..Self::default()
+        }
+    }
+
+    /// Appends received bytes; fails if the buffer would exceed its maximum size or its budget.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), Overflow> {
-        if self.buffer.len() + bytes.len() > MAX_BUFFER_BYTES {
+        let len = self.buffer.len() + bytes.len();
+        let has_memory = self.memory.as_mut().is_none_or(|m| m.resize(len));
+        if len > MAX_BUFFER_BYTES || !has_memory {
             return Err(Overflow);
         }
         self.buffer.extend_from_slice(bytes);
