--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -34,7 +34,7 @@
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) http: Client,
     pub(crate) metrics: Metrics,
-    /// The memory that the bodies of responses share.
+    /// The memory that the bodies of responses and incomplete events of streams share.
     pub(crate) response_memory: Budget,
     /// Wakes the planner; the channel holds at most one wake-up.
     pub(crate) planner_wake_tx: async_channel::Sender<()>,
