fix: a former owner's precedence ends with the leases of the former era

The domains that an entry owned in the former era were remembered for good, so that much later it would compete for one of them, whatever its rank, when the owner's row was deleted. It now has precedence only until others may take the domain over.

--- a/crates/cyclamen-gateway/src/node/ownership.rs
+++ b/crates/cyclamen-gateway/src/node/ownership.rs
@@ -33,7 +33,8 @@
     pub(crate) idle_renewal_at: Time,
     /// The domains that this entry owned in the former era of the store.
     pub(crate) formerly_owned: BTreeSet<domain::Name>,
-    /// When all leases of the former era of the store have expired, in a later era than the first.
+    /// When all leases of the former era of the store have expired; `None` in the first era that
+    /// this entry knows.
     pub(crate) takeovers_from: Option<Time>,
     /// When the rows of domains are to be read even if there is none to take over.
     read_domains_at: Option<Time>,
@@ -102,15 +103,14 @@
     /// Returns whether a domain belongs to `local`: its row says so, or the row was lost with the
     /// former era of the store, in which `local` owned the domain.
     ///
-    /// The row of a copy may name an owner before the last one, which then counts only when the
-    /// last one's lease has expired.
+    /// Until the leases of the former era have expired, only its last owner counts; the row of a
+    /// copy may name an earlier one.
     pub(crate) fn is_owner(&self, now: Time, domain: &domain::Name, local: &Owner) -> bool {
-        let formerly = self.formerly_owned.contains(domain);
-        let is_named = match self.owner_rows.get(domain) {
-            Some(row) => row.owner == *local,
-            None => self.read_domains_at.is_none() && formerly,
-        };
-        is_named && (formerly || self.allows_takeovers(now))
+        let was_last = !self.allows_takeovers(now) && self.formerly_owned.contains(domain);
+        match self.owner_rows.get(domain) {
+            Some(row) => row.owner == *local && (was_last || self.allows_takeovers(now)),
+            None => was_last && self.read_domains_at.is_none(),
+        }
     }
 
     /// Returns whether a domain may be taken over by another entry than its owner in the former
