--- a/crates/cyclamen-gateway/src/metrics.rs
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -134,7 +134,7 @@
         self.owned_domains.record(count as u64, &[]);
     }
 
-    /// Records the highest era of the store that this entry has heard of.
+    /// Records the highest era of the store that this entry knows of.
     pub(crate) fn record_store_era(&self, era: Era) {
         self.store_era.record(era.0, &[]);
     }
--- a/crates/cyclamen-gateway/src/node/ownership.rs
+++ b/crates/cyclamen-gateway/src/node/ownership.rs
@@ -121,7 +121,7 @@
 
     /// Gives up all domains at the beginning of an era of the store.
     ///
-    /// Another entry that has not heard of the era may act on a lease of the former one until
+    /// Another entry that does not know of the era yet may act on a lease of the former one until
     /// that has expired, so only domains that were this entry's own are taken over before.
     pub(crate) fn begin_era(&mut self, now: Time, idle_renewal_at: Time) {
         self.formerly_owned.extend(self.planners.keys().cloned());
--- a/crates/cyclamen-gateway/src/node/peers.rs
+++ b/crates/cyclamen-gateway/src/node/peers.rs
@@ -50,7 +50,7 @@
 }
 
 impl Peer {
-    /// Creates another entry that has not been heard of.
+    /// Creates another entry from which no gossip has arrived.
     pub(crate) fn new(
         incarnation: entry::Incarnation,
         address: SocketAddr,
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -53,7 +53,7 @@
     pub(crate) detector: Detector,
     /// Rows of the followed tables, to gossip to other entries.
     pub(crate) rows: Cache,
-    /// The highest era of the store that this entry has heard of.
+    /// The highest era of the store that this entry knows of.
     pub(crate) era: Era,
     /// The recovery from the beginning of the current era, if it isn't over.
     pub(crate) recovery: Option<Recovery>,
