feat: log why a group is taken for lost and how a connection broke

loss=unlisted|regrouped|suspected and the kind of error tell the three hypotheses of the cut answers apart; no change of logic.

--- a/crates/cyclamen-gateway/src/frontend/stream.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream.rs
@@ -17,6 +17,7 @@
 use crate::frontend::request::Request;
 use crate::frontend::response::is_success;
 use crate::frontend::stream::upstream::{Upstream, first_event_probe_delay};
+use crate::node::Loss;
 use crate::settings::millis;
 use crate::tasks;
 
@@ -88,13 +89,24 @@
 enum Interruption {
     /// The connection failed, the body ended within an event or before the first one, or an event
     /// is too large.
-    Closed,
+    Closed(Break),
     /// The group lost a member.
-    GroupLost,
+    GroupLost(Loss),
     /// The deadline has passed.
     Late,
 }
 
+/// How a connection on which a worker streamed came to an end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Break {
+    /// Reading failed with an error of this kind.
+    Failed(io::ErrorKind),
+    /// The body ended within an event or before the first one.
+    EndedEarly,
+    /// An event is too large.
+    TooLarge,
+}
+
 /// A streaming request, forwarded to one worker after another until the response is complete.
 struct Relay {
     request: Request,
@@ -177,7 +189,7 @@
         self.request
             .record_outcome(&upstream.dispatch, outcome, upstream.has_started());
         let now = self.request.node.now();
-        if cause == Interruption::Closed && upstream.is_beginning(now) {
+        if matches!(cause, Interruption::Closed(_)) && upstream.is_beginning(now) {
             self.request.record_disconnect(&upstream.dispatch);
         }
         let id = &self.request.id;
@@ -224,7 +236,7 @@
             }
             if !self.fill(upstream).await? {
                 return if upstream.events.has_partial_event() || self.lacks_events(upstream) {
-                    Err(Interruption::Closed)
+                    Err(Interruption::Closed(Break::EndedEarly))
                 } else {
                     Ok(Part::End)
                 };
@@ -259,10 +271,13 @@
                         self.log_first_event(upstream);
                     }
                     let pushed = upstream.events.push(&buffer[..count]);
-                    pushed.map_err(|_| Interruption::Closed)?;
+                    pushed.map_err(|_| Interruption::Closed(Break::TooLarge))?;
                     return Ok(count > 0);
                 }
-                Some(Err(_)) => return Err(Interruption::Closed),
+                Some(Err(error)) => {
+                    let broken = Break::Failed(error.kind());
+                    return Err(Interruption::Closed(broken));
+                }
                 None => self.check_silence(upstream)?,
             }
         }
@@ -308,11 +323,9 @@
         if silent < millis(node.settings.timing.stall_ms) {
             return Ok(());
         }
-        if self.may_resume()
-            && upstream.dispatch.target.model.is_some()
-            && node.state().has_lost_member(&upstream.dispatch.target)
-        {
-            return Err(Interruption::GroupLost);
+        let loss = node.state().group_loss(&upstream.dispatch.target);
+        if let Some(loss) = loss.filter(|_| self.may_resume()) {
+            return Err(Interruption::GroupLost(loss));
         }
         if upstream.has_started() || silent >= first_event_probe_delay(&upstream.dispatch) {
             tasks::probe_group(node, &upstream.dispatch.target);
--- a/crates/cyclamen-gateway/src/frontend/stream/connect.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/connect.rs
@@ -176,8 +176,15 @@
                 if waited < millis(request.node.settings.timing.stall_ms) {
                     continue;
                 }
-                let is_lost = request.node.state().has_lost_member(&self.dispatch.target);
-                if is_lost && self.relay.may_resume() {
+                let loss = request.node.state().group_loss(&self.dispatch.target);
+                if let Some(loss) = loss.filter(|_| self.relay.may_resume()) {
+                    log::info!(
+                        "event=response_given_up id={} instance={} loss={} silent_ms={}",
+                        request.id,
+                        self.dispatch.target.instance,
+                        loss.as_str(),
+                        waited.as_millis()
+                    );
                     return Err(Error::Closed);
                 }
                 if waited >= first_event_probe_delay(self.dispatch) {
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -25,7 +25,7 @@
 pub(crate) use ownership::OwnerRow;
 pub(crate) use peers::{Knowledge, Peer};
 pub(crate) use state::State;
-pub(crate) use targets::TargetCount;
+pub(crate) use targets::{Loss, TargetCount};
 pub(crate) use updates::{FOLLOWED_TABLES, Source};
 
 /// The state of this entry, and its clients for calls to workers and to other entries.
--- a/crates/cyclamen-gateway/src/node/targets.rs
+++ b/crates/cyclamen-gateway/src/node/targets.rs
@@ -11,6 +11,28 @@
 
 use crate::node::State;
 
+/// Why a group may no longer make progress on the requests that it runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Loss {
+    /// The head is not listed, or belongs to no group of a configured service.
+    Unlisted,
+    /// The head has joined another group or has restarted.
+    Regrouped,
+    /// A member did not respond to probes in time.
+    Suspected,
+}
+
+impl Loss {
+    /// Returns the name in logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Unlisted => "unlisted",
+            Self::Regrouped => "regrouped",
+            Self::Suspected => "suspected",
+        }
+    }
+}
+
 /// The number of workers of a service, or of groups of a model, that take requests.
 #[derive(Debug)]
 pub(crate) struct TargetCount {
@@ -42,16 +64,19 @@
         counts.collect()
     }
 
-    /// Returns whether a member of the group that a target heads is suspected.
-    ///
-    /// A target whose membership or incarnation has changed has lost its group as well.
-    pub(crate) fn has_lost_member(&self, target: &Target) -> bool {
+    /// Returns why the group that a target heads may have lost a member, if it may; `None` for a
+    /// worker of a plain service.
+    pub(crate) fn group_loss(&self, target: &Target) -> Option<Loss> {
+        target.model.as_ref()?;
         let Some(group) = self.group_of_head(&target.instance) else {
-            return target.model.is_some();
+            return Some(Loss::Unlisted);
         };
         let same_incarnation = |m: &Arc<Instance>| m.incarnation == target.incarnation;
-        let same_group = group.fence == target.fence && group.head().is_some_and(same_incarnation);
-        !same_group || group.members.values().any(|m| self.is_suspected(m))
+        if group.fence != target.fence || !group.head().is_some_and(same_incarnation) {
+            return Some(Loss::Regrouped);
+        }
+        let is_suspected = group.members.values().any(|m| self.is_suspected(m));
+        is_suspected.then_some(Loss::Suspected)
     }
 
     /// Recomputes which workers take requests.
