fix: a silent worker keeps its stream while a replacement is sought

Callers saw answers that broke off, 502 and 503, while the worker that ran the request was sound and only silent for about a second.

Cause: a stream whose group was suspected dropped its worker before a retry was granted and another worker had answered. If the budget denied the retry, no worker was free or the next one refused, nothing was left to wait for. The class of fault: a running answer is given up for a suspicion, before its replacement stands.

Now at most two workers run such a request: the silent one and a replacement. The first that makes the next event goes on, the other is cancelled. Without a replacement the silent one is waited for until the deadline; one is sought again four times a second. What is sent to workers (Call) is apart from the progress of the request, so that attempts can run side by side.

--- a/crates/cyclamen-gateway/src/frontend.rs
+++ b/crates/cyclamen-gateway/src/frontend.rs
@@ -1,6 +1,7 @@
 //! HTTP handlers for callers, the readiness check and metrics.
 
 mod buffered;
+mod call;
 mod check;
 mod containment;
 mod refusal;
@@ -31,7 +32,7 @@
 
 async fn forward(node: &Arc<Node>, conn: &mut Conn) -> Result<(), Refusal> {
     let request = Request::read(node, conn).await?;
-    if request.route.streaming {
+    if request.call.route.streaming {
         stream::forward(request, conn).await
     } else {
         buffered::forward(request, conn).await
--- a/crates/cyclamen-gateway/src/frontend/buffered.rs
+++ b/crates/cyclamen-gateway/src/frontend/buffered.rs
@@ -10,6 +10,7 @@
 use smol::future::or;
 use trillium::{Conn, Headers};
 
+use crate::frontend::call::Call;
 use crate::frontend::refusal::Refusal;
 use crate::frontend::request::Request;
 use crate::frontend::response::{Class, classify, is_success, record_notices};
@@ -73,37 +74,34 @@
 async fn run(request: &mut Request) -> Result<(Response, Dispatch), Refusal> {
     loop {
         let dispatch = request.choose()?;
-        match attempt(request, &dispatch).await {
+        match attempt(&request.call, &dispatch).await {
             Ok(response) => {
-                request.record_completion(is_success(response.status));
+                request.call.record_completion(is_success(response.status));
                 return Ok((response, dispatch));
             }
             Err(Failure::NotSent) => {
-                tasks::probe_group(&request.node, &dispatch.target);
-                if !request.record_failed_connect(&dispatch) {
+                tasks::probe_group(&request.call.node, &dispatch.target);
+                if !request.record_failed_connect() {
                     return Err(Refusal::retry_later("not_connected", CONNECT_RETRY_DELAY));
                 }
             }
             Err(Failure::NotRun) => {
-                request.tried.push(dispatch.target.instance.clone());
                 if !request.try_spend_retry() {
                     return Err(Refusal::retries_spent());
                 }
             }
             Err(Failure::Failed(response)) => {
-                request.tried.push(dispatch.target.instance.clone());
                 request.may_have_run = true;
-                if !request.is_repeatable() || !request.try_spend_retry() {
+                if !request.call.is_repeatable() || !request.try_spend_retry() {
                     return Ok((*response, dispatch));
                 }
             }
             Err(failure @ (Failure::Closed | Failure::Unknown)) => {
                 if matches!(failure, Failure::Closed) {
-                    request.record_disconnect(&dispatch);
+                    request.call.record_disconnect(&dispatch);
                 }
-                request.tried.push(dispatch.target.instance.clone());
                 request.may_have_run = true;
-                if !request.is_repeatable() || !request.try_spend_retry() {
+                if !request.call.is_repeatable() || !request.try_spend_retry() {
                     return Err(Refusal::failed("outcome_unknown"));
                 }
             }
@@ -121,13 +119,13 @@
 }
 
 /// Sends the request once.
-async fn attempt(request: &Request, dispatch: &Dispatch) -> Result<Response, Failure> {
+async fn attempt(call: &Call, dispatch: &Dispatch) -> Result<Response, Failure> {
     let mut in_progress = InProgress {
-        request,
+        call,
         dispatch,
         outcome: Outcome::Cancelled,
     };
-    let result = exchange(request, dispatch).await;
+    let result = exchange(call, dispatch).await;
     in_progress.outcome = match &result {
         Ok(_) => Outcome::Complete,
         Err(Failure::NotRun) => Outcome::Shed,
@@ -140,20 +138,19 @@
 /// A request in progress on a worker; records the outcome on drop, also if the caller
 /// disconnects.
 struct InProgress<'a> {
-    request: &'a Request,
+    call: &'a Call,
     dispatch: &'a Dispatch,
     outcome: Outcome,
 }
 
 impl Drop for InProgress<'_> {
     fn drop(&mut self) {
-        self.request
-            .record_outcome(self.dispatch, self.outcome, false);
+        self.call.record_outcome(self.dispatch, self.outcome, false);
     }
 }
 
-async fn exchange(request: &Request, dispatch: &Dispatch) -> Result<Response, Failure> {
-    let response = send(request, dispatch, None)
+async fn exchange(call: &Call, dispatch: &Dispatch) -> Result<Response, Failure> {
+    let response = send(call, dispatch, None)
         .await
         .map_err(|error| match error {
             Error::NotSent => Failure::NotSent,
@@ -161,30 +158,24 @@
             Error::Closed => Failure::Closed,
             Error::Malformed => Failure::Unknown,
         })?;
-    record_notices(request, dispatch, &response);
-    let class = classify(request, &response);
+    record_notices(call, dispatch, &response);
+    let class = classify(call, &response);
     match class {
         Class::NotRun => return Err(Failure::NotRun),
         Class::Invalid => return Err(Failure::Unknown),
         Class::Answered | Class::Failed => {}
     }
-    let response = read_body(request, response).await?;
+    let response = read_body(call, response).await?;
     if class == Class::Failed {
         return Err(Failure::Failed(Box::new(response)));
     }
     Ok(response)
 }
 
-async fn read_body(
-    request: &Request,
-    mut response: StreamingResponse,
-) -> Result<Response, Failure> {
-    let reading = collect(
-        &mut response.body,
-        request.node.response_memory.reservation(),
-    );
+async fn read_body(call: &Call, mut response: StreamingResponse) -> Result<Response, Failure> {
+    let reading = collect(&mut response.body, call.node.response_memory.reservation());
     let timeout = async {
-        Timer::after(request.remaining()).await;
+        Timer::after(call.remaining()).await;
         Err(Failure::TimedOut)
     };
     let (body, memory) = or(reading, timeout).await?;
--- a/crates/cyclamen-gateway/src/frontend/containment.rs
+++ b/crates/cyclamen-gateway/src/frontend/containment.rs
@@ -3,8 +3,8 @@
 use cyclamen_dispatch::Dispatch;
 use cyclamen_route::containment::{Answer, Decision, Fingerprint, Part};
 
+use crate::frontend::call::Call;
 use crate::frontend::refusal::Refusal;
-use crate::frontend::request::Request;
 use crate::tasks;
 use crate::tasks::Suspect;
 
@@ -13,7 +13,7 @@
 /// Maximum length of the id of a part, in bytes.
 const MAX_PART_BYTES: usize = 64;
 
-impl Request {
+impl Call {
     /// Refuses a request that crashes workers.
     pub(super) fn check_containment(&self) -> Result<(), Refusal> {
         if self.node.state().strikes.is_empty() {
--- a/crates/cyclamen-gateway/src/frontend/response.rs
+++ b/crates/cyclamen-gateway/src/frontend/response.rs
@@ -7,7 +7,7 @@
 use cyclamen_replica::Start;
 use trillium::KnownHeaderName;
 
-use crate::frontend::request::Request;
+use crate::frontend::call::Call;
 use crate::tasks::record_leaving;
 
 /// What the head of a worker's response implies about the request.
@@ -34,8 +34,8 @@
 
 /// Records what the head of a response says of the worker, whatever the response is: that it is
 /// leaving, or that it wants no requests from this entry for a while.
-pub(crate) fn record_notices(request: &Request, dispatch: &Dispatch, response: &StreamingResponse) {
-    let node = &request.node;
+pub(crate) fn record_notices(call: &Call, dispatch: &Dispatch, response: &StreamingResponse) {
+    let node = &call.node;
     let now = node.now();
     let is_leaving = response.headers.has_header(node.platform.dialect().leaving);
     if is_leaving {
@@ -68,13 +68,13 @@
 }
 
 /// Classifies a worker's response by its head.
-pub(crate) fn classify(request: &Request, response: &StreamingResponse) -> Class {
-    let dialect = request.node.platform.dialect();
+pub(crate) fn classify(call: &Call, response: &StreamingResponse) -> Class {
+    let dialect = call.node.platform.dialect();
     if response.headers.has_header(dialect.not_run) || response.status == 421 {
         return Class::NotRun;
     }
     let echoed = response.headers.get_str(dialect.request_id);
-    if echoed.is_some_and(|echoed| *echoed != *request.id) {
+    if echoed.is_some_and(|echoed| *echoed != *call.id) {
         return Class::Invalid;
     }
     if NOT_RUN_STATUSES.contains(&response.status) {
--- a/crates/cyclamen-gateway/src/frontend/send.rs
+++ b/crates/cyclamen-gateway/src/frontend/send.rs
@@ -4,7 +4,7 @@
 use cyclamen_http::{Error, StreamingResponse};
 use trillium::Headers;
 
-use crate::frontend::request::Request;
+use crate::frontend::call::Call;
 
 /// The lowest urgency that workers accept; a larger number is less urgent.
 const LEAST_URGENT: u8 = 9;
@@ -13,36 +13,36 @@
 ///
 /// `last_event_id` is the id of the last event that the caller received, if a stream is resumed.
 pub(crate) async fn send(
-    request: &Request,
+    call: &Call,
     dispatch: &Dispatch,
     last_event_id: Option<u64>,
 ) -> Result<StreamingResponse, Error> {
-    let url = format!("http://{}{}", dispatch.target.address, request.path);
+    let url = format!("http://{}{}", dispatch.target.address, call.path);
     let outbound = cyclamen_http::Request {
-        method: request.method,
+        method: call.method,
         url: &url,
-        headers: headers(request, dispatch, last_event_id),
-        body: request.body.clone(),
-        timeout: request.remaining(),
+        headers: headers(call, dispatch, last_event_id),
+        body: call.body.clone(),
+        timeout: call.remaining(),
     };
-    request.node.http.call_streaming(outbound).await
+    call.node.http.call_streaming(outbound).await
 }
 
-fn headers(request: &Request, dispatch: &Dispatch, last_event_id: Option<u64>) -> Headers {
-    let dialect = request.node.platform.dialect();
-    let mut headers = request.headers.clone();
+fn headers(call: &Call, dispatch: &Dispatch, last_event_id: Option<u64>) -> Headers {
+    let dialect = call.node.platform.dialect();
+    let mut headers = call.headers.clone();
     headers.insert(
         dialect.deadline_ms,
-        request.remaining().as_millis().to_string(),
+        call.remaining().as_millis().to_string(),
     );
     headers.insert(dialect.instance, dispatch.target.instance.to_string());
-    let urgency = if request.is_late() {
+    let urgency = if call.is_late() {
         LEAST_URGENT
     } else {
-        request.priority().min(LEAST_URGENT - 1)
+        call.priority().min(LEAST_URGENT - 1)
     };
     headers.insert(dialect.urgency, urgency.to_string());
-    if let Some(team) = &request.team {
+    if let Some(team) = &call.team {
         headers.insert(dialect.team, team.name.to_string());
     }
     if let Some(id) = last_event_id {
--- /dev/null
+++ b/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
@@ -0,0 +1,293 @@
+//! One attempt to run a streaming request on a worker.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cyclamen_dispatch::{Dispatch, Outcome};
+use cyclamen_http::{Error, StreamingResponse};
+use cyclamen_relay::EventBuffer;
+use cyclamen_types::Time;
+use futures::AsyncReadExt;
+use trillium::Headers;
+
+use crate::frontend::call::Call;
+use crate::frontend::response::{Class, classify, is_success, record_notices};
+use crate::frontend::send::send;
+
+/// Size of the buffer for reads from a worker, in bytes.
+const READ_BUFFER_BYTES: usize = 8 << 10;
+/// The delay of a first event beyond its forecast that is tolerated before the group is
+/// probed.
+const FORECAST_SLACK: Duration = Duration::from_millis(100);
+/// How long after its first bytes a response counts as beginning.
+const BEGINNING_DURATION: Duration = Duration::from_millis(500);
+
+/// A part of a response body.
+#[derive(Debug)]
+pub(super) enum Part {
+    /// Complete events, with the id of the last one that has an id.
+    Events { bytes: Vec<u8>, last: Option<u64> },
+    /// The end of a complete response.
+    End,
+}
+
+/// How a connection on which a worker streamed came to an end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Break {
+    /// Reading failed with an error of this kind.
+    Failed(io::ErrorKind),
+    /// The body ended within an event or before the first one.
+    EndedEarly,
+    /// An event is too large.
+    TooLarge,
+}
+
+/// Why an attempt ended without a complete response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Failure {
+    /// No connection was made.
+    NotSent,
+    /// The worker did not run the request.
+    NotRun,
+    /// The worker closed the connection before the response head.
+    Closed,
+    /// No usable response head was received; the request may have run.
+    Unknown,
+    /// The worker failed the request.
+    Failed,
+    /// The response broke off.
+    Broken(Break),
+}
+
+/// A response that a worker has begun.
+struct Response {
+    inner: StreamingResponse,
+    events: EventBuffer,
+}
+
+type Opening = Pin<Box<dyn Future<Output = Result<StreamingResponse, Error>> + Send>>;
+
+enum State {
+    /// The request is being sent, or the response head is awaited.
+    Opening(Opening),
+    Open(Box<Response>),
+}
+
+/// One attempt to run a streaming request on a worker.
+///
+/// Dropping it cancels the request there.
+pub(super) struct Attempt {
+    call: Arc<Call>,
+    pub(super) dispatch: Dispatch,
+    state: State,
+    /// When a complete event was last received; at first, when the response head was received, or
+    /// else when the worker was chosen.
+    pub(super) last_event_at: Time,
+    /// When the first bytes of the body were received.
+    started_at: Option<Time>,
+    /// Whether the caller has received the head of another response.
+    continues: bool,
+    is_recorded: bool,
+}
+
+impl Attempt {
+    /// Sends a request to a worker.
+    ///
+    /// The response begins after the event with the id `after`; `continues` is whether the caller
+    /// has received the head of another response.
+    pub(super) fn start(
+        call: &Arc<Call>,
+        dispatch: Dispatch,
+        after: Option<u64>,
+        continues: bool,
+    ) -> Self {
+        let opening = {
+            let (call, dispatch) = (call.clone(), dispatch.clone());
+            async move { send(&call, &dispatch, after).await }
+        };
+        Self {
+            call: call.clone(),
+            last_event_at: dispatch.chosen_at,
+            dispatch,
+            state: State::Opening(Box::pin(opening)),
+            started_at: None,
+            continues,
+            is_recorded: false,
+        }
+    }
+
+    /// Returns the next complete events after the one with the id `after`.
+    ///
+    /// Dropping the future loses nothing.
+    pub(super) async fn next(&mut self, after: Option<u64>) -> Result<Part, Failure> {
+        loop {
+            match &mut self.state {
+                State::Opening(opening) => {
+                    let response = opening.as_mut().await.map_err(Failure::from)?;
+                    self.accept(response)?;
+                }
+                State::Open(response) => {
+                    if let Some(part) = response.take_events(after) {
+                        self.record_progress();
+                        return Ok(part);
+                    }
+                    let mut buffer = [0; READ_BUFFER_BYTES];
+                    let count = response.inner.body.read(&mut buffer).await;
+                    let count = count.map_err(|e| Failure::Broken(Break::Failed(e.kind())))?;
+                    if count == 0 {
+                        return self.end(after);
+                    }
+                    let pushed = response.events.push(&buffer[..count]);
+                    pushed.map_err(|_| Failure::Broken(Break::TooLarge))?;
+                    self.record_started();
+                }
+            }
+        }
+    }
+
+    /// Accepts a response, unless its head shows that the request must be retried or refused.
+    fn accept(&mut self, response: StreamingResponse) -> Result<(), Failure> {
+        record_notices(&self.call, &self.dispatch, &response);
+        match classify(&self.call, &response) {
+            Class::NotRun => return Err(Failure::NotRun),
+            Class::Invalid => return Err(Failure::Unknown),
+            Class::Failed if self.call.is_resumable() => return Err(Failure::Failed),
+            Class::Answered if self.continues && !is_success(response.status) => {
+                return Err(Failure::Failed);
+            }
+            Class::Answered | Class::Failed => {}
+        }
+        self.last_event_at = self.call.node.now();
+        self.state = State::Open(Box::new(Response {
+            inner: response,
+            events: EventBuffer::new(&self.call.node.response_memory),
+        }));
+        Ok(())
+    }
+
+    /// Returns the end of the response, unless it has ended within an event, or a successful one
+    /// before the first event of the stream.
+    fn end(&self, after: Option<u64>) -> Result<Part, Failure> {
+        let lacks_events = !self.has_started() && after.is_none() && self.is_success();
+        let State::Open(response) = &self.state else {
+            return Err(Failure::Unknown);
+        };
+        if response.events.has_partial_event() || lacks_events {
+            return Err(Failure::Broken(Break::EndedEarly));
+        }
+        Ok(Part::End)
+    }
+
+    fn record_started(&mut self) {
+        if self.has_started() {
+            return;
+        }
+        self.started_at = Some(self.call.node.now());
+        self.call.record_started(&self.dispatch);
+        self.log_first_event();
+    }
+
+    /// Records that the worker has made a complete event, for which it needs its whole group.
+    fn record_progress(&mut self) {
+        let node = &self.call.node;
+        let now = node.now();
+        self.last_event_at = now;
+        node.state().record_progress(now, &self.dispatch.target);
+    }
+
+    fn log_first_event(&self) {
+        let Dispatch { target, .. } = &self.dispatch;
+        let now = self.call.node.now();
+        log::info!(
+            "event=first_event id={} instance={} model={} wait_ms={} forecast_ms={} \
+             running={} backlog={} tokens={} late={}",
+            self.call.id,
+            target.instance,
+            target.model.as_ref().map_or("none", |m| m.as_str()),
+            now.since(self.dispatch.chosen_at).as_millis(),
+            self.dispatch.forecast.as_millis(),
+            self.dispatch.running,
+            self.dispatch.backlog,
+            self.dispatch.tokens,
+            self.call.is_late()
+        );
+    }
+
+    /// Records how the attempt ended; only the first call has an effect.
+    pub(super) fn record_outcome(&mut self, outcome: Outcome) {
+        if !std::mem::replace(&mut self.is_recorded, true) {
+            let started = self.has_started();
+            self.call.record_outcome(&self.dispatch, outcome, started);
+        }
+    }
+
+    pub(super) fn has_started(&self) -> bool {
+        self.started_at.is_some()
+    }
+
+    /// Returns the status of the response, if it has begun.
+    pub(super) fn status(&self) -> Option<u16> {
+        match &self.state {
+            State::Opening(_) => None,
+            State::Open(response) => Some(response.inner.status),
+        }
+    }
+
+    pub(super) fn is_success(&self) -> bool {
+        self.status().is_some_and(is_success)
+    }
+
+    /// Returns the response headers for the caller, if the response has begun.
+    pub(super) fn headers(&self) -> Headers {
+        match &self.state {
+            State::Opening(_) => Headers::new(),
+            State::Open(response) => cyclamen_relay::end_to_end(&response.inner.headers),
+        }
+    }
+
+    /// Returns whether the worker has only begun to answer, so that a crash may be due to the
+    /// request.
+    pub(super) fn is_beginning(&self, now: Time) -> bool {
+        self.started_at
+            .is_none_or(|at| now.since(at) < BEGINNING_DURATION)
+    }
+
+    /// Returns whether the silence of the worker is a reason to probe its group.
+    pub(super) fn is_probe_due(&self, silent: Duration) -> bool {
+        self.has_started() || silent >= self.dispatch.forecast + FORECAST_SLACK
+    }
+}
+
+impl Response {
+    /// Removes the complete events after the one with the id `after` from the buffer.
+    fn take_events(&mut self, after: Option<u64>) -> Option<Part> {
+        let mut bytes = Vec::new();
+        let mut last = after;
+        while let Some(event) = self.events.next_event() {
+            let is_known = event.id.zip(last).is_some_and(|(id, last)| id <= last);
+            if !is_known {
+                last = event.id.or(last);
+                bytes.extend_from_slice(&event.bytes);
+            }
+        }
+        (!bytes.is_empty()).then_some(Part::Events { bytes, last })
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.record_outcome(Outcome::Cancelled);
+    }
+}
+
+impl From<Error> for Failure {
+    fn from(error: Error) -> Self {
+        match error {
+            Error::NotSent => Self::NotSent,
+            Error::Closed => Self::Closed,
+            Error::TimedOut | Error::Malformed => Self::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay.rs
@@ -0,0 +1,331 @@
+//! Runs a streaming request on one worker after another until the response is complete.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cyclamen_dispatch::Outcome;
+use cyclamen_types::Time;
+use futures::future::select_all;
+use smol::Timer;
+use smol::future::or;
+use trillium::Headers;
+
+use crate::frontend::call::Call;
+use crate::frontend::refusal::Refusal;
+use crate::frontend::request::Request;
+use crate::frontend::stream::attempt::{Attempt, Failure, Part};
+use crate::node::Loss;
+use crate::settings::millis;
+use crate::tasks;
+
+/// The interval at which the group of a silent worker is checked.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(40);
+/// The interval between searches for a worker that replaces a silent one.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
+/// The retry delay sent to callers when no worker accepted their stream.
+const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// The number of workers that run a request at the same time: a silent one and its replacement.
+const MAX_CONCURRENT_ATTEMPTS: usize = 2;
+
+/// The status of a response that a worker has not begun.
+const BAD_GATEWAY: u16 = 502;
+
+/// The head of a response and the first part of its body.
+pub(super) struct Head {
+    pub(super) status: u16,
+    pub(super) headers: Headers,
+    pub(super) part: Part,
+}
+
+/// A streaming request, forwarded to one worker after another until the response is complete.
+///
+/// A worker that may have failed but has not closed its connection keeps the request while a
+/// replacement is sought: the first of the two that makes the next event goes on, and the other
+/// one is cancelled.
+pub(super) struct Relay {
+    pub(super) request: Request,
+    /// The workers that run the request, the first one first.
+    attempts: Vec<Attempt>,
+    /// The id of the last event that the caller received.
+    last_event_id: Option<u64>,
+    /// Whether the caller has received the head of a response.
+    has_head: bool,
+    /// Whether the request may be sent to a worker without spending a retry.
+    may_send: bool,
+    /// When a replacement of a silent worker was last sought.
+    replacement_sought_at: Option<Time>,
+}
+
+/// What a relay waited for.
+enum Event {
+    /// The attempt with this index made a part of the response, or failed.
+    Attempt(usize, Result<Part, Failure>),
+    /// The workers are to be checked for silence.
+    Check,
+}
+
+impl Relay {
+    pub(super) fn new(request: Request, last_event_id: Option<u64>) -> Self {
+        Self {
+            request,
+            attempts: Vec::new(),
+            last_event_id,
+            has_head: false,
+            may_send: true,
+            replacement_sought_at: None,
+        }
+    }
+
+    fn call(&self) -> &Arc<Call> {
+        &self.request.call
+    }
+
+    /// Returns the response head once the first event is received.
+    pub(super) async fn begin(&mut self) -> Result<Head, Refusal> {
+        let part = self.next().await?;
+        let Some(attempt) = self.attempts.first() else {
+            return Err(Refusal::failed("endpoint_failed"));
+        };
+        let head = Head {
+            status: attempt.status().unwrap_or(BAD_GATEWAY),
+            headers: attempt.headers(),
+            part,
+        };
+        let call = self.call();
+        let wait = call.node.now().since(call.arrived_at);
+        let service = call.service_name().as_str();
+        call.node.metrics.record_first_byte(service, wait);
+        self.has_head = true;
+        Ok(head)
+    }
+
+    /// Returns the next complete events, from another worker if one fails or is silent.
+    pub(super) async fn next(&mut self) -> Result<Part, Refusal> {
+        loop {
+            if self.attempts.is_empty() {
+                self.start_attempt()?;
+            }
+            match self.wait().await {
+                Event::Attempt(index, Ok(part)) => {
+                    self.continue_with(index);
+                    return Ok(self.deliver(part));
+                }
+                Event::Attempt(index, Err(failure)) => self.end_attempt(index, failure)?,
+                Event::Check if self.call().remaining().is_zero() => {
+                    return Err(Refusal::deadline_exceeded());
+                }
+                Event::Check => self.check_silence(),
+            }
+        }
+    }
+
+    /// Waits for the next part of any attempt, or until workers are to be checked for silence.
+    async fn wait(&mut self) -> Event {
+        let interval = SILENCE_CHECK_INTERVAL.min(self.call().remaining());
+        let after = self.last_event_id;
+        let parts = self.attempts.iter_mut().map(|a| Box::pin(a.next(after)));
+        let first = async {
+            let (result, index, _) = select_all(parts).await;
+            Event::Attempt(index, result)
+        };
+        let check = async {
+            Timer::after(interval).await;
+            Event::Check
+        };
+        or(first, check).await
+    }
+
+    /// Sends the request to another worker, which costs a retry unless it is the first one or the
+    /// one before was not reached.
+    fn start_attempt(&mut self) -> Result<(), Refusal> {
+        if !self.may_send && !self.request.try_spend_retry() {
+            return Err(Refusal::retries_spent());
+        }
+        self.may_send = true;
+        let dispatch = self.request.choose()?;
+        self.may_send = false;
+        let attempt = Attempt::start(self.call(), dispatch, self.last_event_id, self.has_head);
+        self.attempts.push(attempt);
+        Ok(())
+    }
+
+    /// Cancels all attempts but one, which made the next part of the response.
+    fn continue_with(&mut self, index: usize) {
+        let attempt = self.attempts.swap_remove(index);
+        let is_replacement = index > 0;
+        for mut other in std::mem::replace(&mut self.attempts, vec![attempt]) {
+            let call = self.call();
+            log::info!(
+                "event=attempt_cancelled id={} instance={} replaced={is_replacement} after={:?} \
+                 silent_ms={}",
+                call.id,
+                other.dispatch.target.instance,
+                self.last_event_id,
+                call.node.now().since(other.last_event_at).as_millis()
+            );
+            if is_replacement {
+                other.record_outcome(Outcome::Failed);
+            }
+            self.request.may_have_run = true;
+        }
+        if is_replacement {
+            self.call().node.metrics.record_resumed_stream();
+        }
+    }
+
+    /// Records the part that the caller gets next.
+    fn deliver(&mut self, part: Part) -> Part {
+        match &part {
+            Part::Events { last, .. } => self.last_event_id = *last,
+            Part::End => self.finish(),
+        }
+        part
+    }
+
+    /// Records the end of a complete response.
+    fn finish(&mut self) {
+        let Some(attempt) = self.attempts.first_mut() else {
+            return;
+        };
+        attempt.record_outcome(Outcome::Complete);
+        let was_answered = attempt.has_started() && attempt.is_success();
+        let status = attempt.status().unwrap_or(BAD_GATEWAY);
+        let dispatch = attempt.dispatch.clone();
+        self.call().record_completion(was_answered);
+        self.request.finish("answered", status, Some(&dispatch));
+    }
+
+    /// Ends a failed attempt; fails if no other one runs and the request may not be sent again.
+    fn end_attempt(&mut self, index: usize, failure: Failure) -> Result<(), Refusal> {
+        let attempt = self.attempts.remove(index);
+        let call = self.call().clone();
+        log::info!(
+            "event=attempt_failed id={} instance={} cause={failure:?} after={:?} silent_ms={}",
+            call.id,
+            attempt.dispatch.target.instance,
+            self.last_event_id,
+            call.node.now().since(attempt.last_event_at).as_millis()
+        );
+        if call.remaining().is_zero() {
+            return Err(Refusal::deadline_exceeded());
+        }
+        self.record_failure(attempt, failure);
+        if !self.attempts.is_empty() {
+            return Ok(());
+        }
+        let refusal = refusal(failure, self.has_head);
+        let may_retry = match failure {
+            Failure::NotSent => return self.retry_unsent(refusal),
+            Failure::NotRun => true,
+            Failure::Closed | Failure::Unknown | Failure::Failed | Failure::Broken(_) => {
+                call.is_resumable()
+            }
+        };
+        if !may_retry || !(self.may_send || self.request.try_spend_retry()) {
+            return Err(refusal);
+        }
+        self.may_send = true;
+        self.start_attempt()
+    }
+
+    /// Sends the request to another worker, unless too many could not be reached.
+    fn retry_unsent(&mut self, refusal: Refusal) -> Result<(), Refusal> {
+        if !self.request.may_connect_again() {
+            return Err(refusal);
+        }
+        self.start_attempt()
+    }
+
+    /// Records how a failed attempt ended.
+    fn record_failure(&mut self, mut attempt: Attempt, failure: Failure) {
+        let call = self.call().clone();
+        let outcome = match failure {
+            Failure::NotRun => Outcome::Shed,
+            Failure::NotSent
+            | Failure::Closed
+            | Failure::Unknown
+            | Failure::Failed
+            | Failure::Broken(_) => Outcome::Failed,
+        };
+        attempt.record_outcome(outcome);
+        match failure {
+            Failure::NotSent => {
+                self.request.record_failed_connect();
+                self.may_send = true;
+            }
+            Failure::NotRun => {}
+            Failure::Closed | Failure::Unknown | Failure::Failed | Failure::Broken(_) => {
+                self.request.may_have_run = true;
+            }
+        }
+        let is_disconnect = matches!(failure, Failure::Closed | Failure::Broken(_));
+        if is_disconnect && attempt.is_beginning(call.node.now()) {
+            call.record_disconnect(&attempt.dispatch);
+        }
+        if !matches!(failure, Failure::Failed | Failure::Broken(_)) {
+            tasks::probe_group(&call.node, &attempt.dispatch.target);
+        }
+    }
+
+    /// Probes the groups of silent workers, and seeks a replacement of the first one if its group
+    /// may have lost a member.
+    fn check_silence(&mut self) {
+        let call = self.call().clone();
+        let now = call.node.now();
+        let mut lost = None;
+        for (index, attempt) in self.attempts.iter().enumerate() {
+            let silent = now.since(attempt.last_event_at);
+            if silent < millis(call.node.settings.timing.stall_ms) {
+                continue;
+            }
+            let target = &attempt.dispatch.target;
+            let loss = call.node.state().group_loss(target);
+            match loss {
+                Some(loss) if call.is_resumable() => lost = lost.or((index == 0).then_some(loss)),
+                _ if attempt.is_probe_due(silent) => tasks::probe_group(&call.node, target),
+                _ => {}
+            }
+        }
+        if let Some(loss) = lost {
+            self.seek_replacement(now, loss);
+        }
+    }
+
+    /// Sends the request to another worker besides the silent one, if a retry and a worker are to
+    /// be had.
+    fn seek_replacement(&mut self, now: Time, loss: Loss) {
+        let sought_at = self.replacement_sought_at;
+        let is_recent = sought_at.is_some_and(|at| now.since(at) < REPLACEMENT_INTERVAL);
+        if is_recent || self.attempts.len() >= MAX_CONCURRENT_ATTEMPTS {
+            return;
+        }
+        self.replacement_sought_at = Some(now);
+        let result = match self.start_attempt() {
+            Ok(()) => "started",
+            Err(refusal) => refusal.reason,
+        };
+        let Some(silent) = self.attempts.first() else {
+            return;
+        };
+        log::info!(
+            "event=replacement_sought id={} instance={} loss={} after={:?} silent_ms={} \
+             result={result}",
+            self.call().id,
+            silent.dispatch.target.instance,
+            loss.as_str(),
+            self.last_event_id,
+            now.since(silent.last_event_at).as_millis()
+        );
+    }
+}
+
+/// Returns the refusal of a request whose last attempt failed and that may not be sent again.
+fn refusal(failure: Failure, has_head: bool) -> Refusal {
+    match failure {
+        Failure::NotSent => Refusal::retry_later("not_connected", CONNECT_RETRY_DELAY),
+        Failure::NotRun => Refusal::retry_later("shed", CONNECT_RETRY_DELAY),
+        Failure::Closed | Failure::Unknown => Refusal::failed("outcome_unknown"),
+        Failure::Broken(_) if has_head => Refusal::failed("stream_broken"),
+        Failure::Failed | Failure::Broken(_) => Refusal::failed("endpoint_failed"),
+    }
+}
