fix: a worker that another entry reaches has not failed

Callers saw answers reset by their own head while all members were sound.

Cause: the owner of a domain judged a member by its own probes, and took another entry's suspicion as proof, so that a silent path at one or two entries was enough to take a group apart.

Entries now also gossip which suspected workers answered them (reached @14; former builds ignore it). Such a worker gets no work from entries that don't reach it, but its group stays.

--- a/crates/cyclamen-entry/src/tasks/gossip.rs
+++ b/crates/cyclamen-entry/src/tasks/gossip.rs
@@ -98,6 +98,7 @@
         delta: delta.unwrap_or_default(),
         loads: Vec::new(),
         suspected: Vec::new(),
+        reached: Vec::new(),
         leaving: Vec::new(),
     }
 }
--- a/crates/cyclamen-gateway/src/node/suspicions.rs
+++ b/crates/cyclamen-gateway/src/node/suspicions.rs
@@ -86,19 +86,21 @@
         }
     }
 
-    /// Records which workers another entry suspects; returns the listed workers to probe now.
+    /// Records which workers another entry suspects, and which of those that others suspect it
+    /// reaches; returns the listed workers to probe now.
     pub(crate) fn record_suspicions(
         &mut self,
         now: Time,
         entry: &entry::Name,
         suspected: impl IntoIterator<Item = Start>,
+        reached: impl IntoIterator<Item = Start>,
     ) -> Vec<Arc<Instance>> {
         let registry = &self.registry;
         let listed = suspected.into_iter().filter(|start| {
             let known = registry.get(&start.instance);
             known.is_some_and(|e| e.instance.incarnation == start.incarnation)
         });
-        let to_probe = self.detector.record_report(now, entry, listed);
+        let to_probe = self.detector.record_report(now, entry, listed, reached);
         if !to_probe.is_empty() {
             self.refresh_targets(now);
         }
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -194,7 +194,7 @@
     if let Some(newest) = newest.filter(|_| now >= FORMER_INCARNATION_UNTIL) {
         state.record_operators_gossip(now, newest);
     }
-    let to_probe = state.record_suspicions(now, &sender, received.suspected);
+    let to_probe = state.record_suspicions(now, &sender, received.suspected, received.reached);
     drop(state);
     for worker in to_probe {
         probe_worker(node, worker, INITIAL_PROBES);
--- a/crates/cyclamen-gateway/src/tasks/gossip/message.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip/message.rs
@@ -94,5 +94,6 @@
         loads: state.dispatcher.loads(),
         leaving: state.leaving_to_gossip(now),
         suspected: state.detector.local_suspicions(now).cloned().collect(),
+        reached: state.detector.reached(now).cloned().collect(),
     }
 }
--- a/crates/cyclamen-peer/schema/peer.capnp
+++ b/crates/cyclamen-peer/schema/peer.capnp
@@ -81,6 +81,8 @@
   # The highest era of the store that the sender knows.
   leaving @13 :List(Start);
   # Starts of workers that said lately that they are leaving.
+  reached @14 :List(Start);
+  # Starts of workers that others suspect and that answered the sender lately.
 }
 
 struct Ask {
--- a/crates/cyclamen-peer/src/decode.rs
+++ b/crates/cyclamen-peer/src/decode.rs
@@ -140,6 +140,11 @@
             .iter()
             .map(start)
             .collect::<Result<_, _>>()?,
+        reached: from
+            .get_reached()?
+            .iter()
+            .map(start)
+            .collect::<Result<_, _>>()?,
         leaving: from
             .get_leaving()?
             .iter()
--- a/crates/cyclamen-peer/src/encode.rs
+++ b/crates/cyclamen-peer/src/encode.rs
@@ -111,6 +111,10 @@
     for (i, each) in (0..).zip(&gossip.suspected) {
         start(suspected.reborrow().get(i), each);
     }
+    let mut reached = to.reborrow().init_reached(count(gossip.reached.len()));
+    for (i, each) in (0..).zip(&gossip.reached) {
+        start(reached.reborrow().get(i), each);
+    }
     let mut leaving = to.reborrow().init_leaving(count(gossip.leaving.len()));
     for (i, each) in (0..).zip(&gossip.leaving) {
         start(leaving.reborrow().get(i), each);
--- a/crates/cyclamen-peer/src/message.rs
+++ b/crates/cyclamen-peer/src/message.rs
@@ -38,6 +38,8 @@
     pub loads: Vec<Load>,
     /// Incarnations of workers that do not respond to the sender.
     pub suspected: Vec<Start>,
+    /// Incarnations of workers that other entries suspect and that responded to the sender lately.
+    pub reached: Vec<Start>,
     /// Incarnations of workers that said lately that they are leaving.
     pub leaving: Vec<Start>,
 }
--- a/crates/cyclamen-peer/src/peer_capnp.rs
+++ b/crates/cyclamen-peer/src/peer_capnp.rs
@@ -2500,11 +2500,19 @@
         pub fn has_leaving(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
+        #[inline]
+        pub fn get_reached(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::start::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_reached(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 8 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 9 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2730,6 +2738,22 @@
         pub fn has_leaving(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
+        #[inline]
+        pub fn get_reached(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::start::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_reached(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::start::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(8), value, false)
+        }
+        #[inline]
+        pub fn init_reached(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::start::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(8), size)
+        }
+        #[inline]
+        pub fn has_reached(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2747,121 +2771,128 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 258] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 277] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(52, 153, 207, 91, 50, 249, 244, 177),
             ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
-            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 23, 3, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 79, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 78, 101, 119, 115, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(238, 160, 2, 162, 185, 8, 188, 205),
@@ -3006,6 +3037,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 97, 99, 104, 101, 100, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(54, 99, 220, 29, 198, 188, 119, 250),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3023,6 +3066,7 @@
                 11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 12 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 13 => <::capnp::struct_list::Owned<crate::peer_capnp::start::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                14 => <::capnp::struct_list::Owned<crate::peer_capnp::start::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3036,9 +3080,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,1,9,11,4,13,5,7,10,0,12,3,2,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,1,9,11,4,13,5,7,10,14,0,12,3,2,6];
         pub(crate) const TYPE_ID: u64 = 0xb1f4_f932_5bcf_9934;
     }
 }
--- a/crates/cyclamen-replica/src/detector.rs
+++ b/crates/cyclamen-replica/src/detector.rs
@@ -3,7 +3,9 @@
 //!
 //! An entry reports only suspicions that its own probes raised. A suspicion
 //! reported by another entry triggers a probe, and a successful probe overrides
-//! such reports, so that a false suspicion does not spread.
+//! such reports, so that a false suspicion does not spread. It is reported too: a
+//! worker that another entry reaches has not failed, though it gets no work from
+//! the entries that do not reach it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -32,8 +34,11 @@
 /// Timeouts and intervals of a failure detector.
 #[derive(Debug, Clone, Copy)]
 pub struct Timing {
-    /// How long a successful probe overrides suspicions reported by other entries.
+    /// How long a successful probe overrides suspicions reported by other entries, and is
+    /// reported to them.
     pub alive_ttl: Duration,
+    /// How long another entry's report that it reaches a worker is valid.
+    pub reached_ttl: Duration,
     /// How long a worker has to be suspected before it counts as failed if no
     /// other entry suspects it.
     pub single_observer_timeout: Duration,
@@ -54,6 +59,7 @@
     fn default() -> Self {
         Self {
             alive_ttl: Duration::from_secs(1),
+            reached_ttl: Duration::from_millis(500),
             single_observer_timeout: Duration::from_millis(600),
             suspicion_ttl: Duration::from_secs(3),
             fast_probe_interval: Duration::from_millis(250),
@@ -74,13 +80,23 @@
     last_confirmed: Time,
 }
 
+/// What another entry reported of workers.
+#[derive(Debug)]
+struct Report {
+    /// When it arrived.
+    at: Time,
+    suspected: BTreeSet<Start>,
+    /// Workers that responded to the other entry although some entry suspects them.
+    reached: BTreeSet<Start>,
+}
+
 /// A failure detector for workers.
 #[derive(Debug, Default)]
 pub struct Detector {
     timing: Timing,
     local: BTreeMap<Start, Suspicion>,
-    /// The last report of each other entry: when it arrived and which workers it suspected.
-    reported: BTreeMap<entry::Name, (Time, BTreeSet<Start>)>,
+    /// The last report of each other entry.
+    reports: BTreeMap<entry::Name, Report>,
     /// Workers that are being probed because another entry suspects them.
     probing: BTreeMap<Start, Time>,
     /// When each worker last responded to a probe.
@@ -108,13 +124,14 @@
         self.local.remove(start).is_some() || probing
     }
 
-    /// Records the complete set of workers that another entry suspects and
-    /// returns those to probe now.
+    /// Records the complete sets of workers that another entry suspects and of suspected ones that
+    /// it reaches, and returns those to probe now.
     pub fn record_report(
         &mut self,
         now: Time,
         entry: &entry::Name,
         suspected: impl IntoIterator<Item = Start>,
+        reached: impl IntoIterator<Item = Start>,
     ) -> Vec<Start> {
         let suspected: BTreeSet<Start> = suspected.into_iter().collect();
         for start in &suspected {
@@ -122,18 +139,21 @@
                 suspicion.last_confirmed = now;
             }
         }
-        let alive = |start: &Start| {
-            let responded_at = self.last_success.get(start);
-            responded_at.is_some_and(|at| now.since(*at) < self.timing.alive_ttl)
-        };
         let known =
             |start: &Start| self.local.contains_key(start) || self.probing.contains_key(start);
-        let to_probe = suspected.iter().filter(|s| !alive(s) && !known(s));
+        let to_probe = suspected
+            .iter()
+            .filter(|s| !self.is_alive(now, s) && !known(s));
         let to_probe: Vec<Start> = to_probe.cloned().collect();
         for start in &to_probe {
             self.probing.insert(start.clone(), now);
         }
-        self.reported.insert(entry.clone(), (now, suspected));
+        let report = Report {
+            at: now,
+            suspected,
+            reached: reached.into_iter().collect(),
+        };
+        self.reports.insert(entry.clone(), report);
         to_probe
     }
 
@@ -147,14 +167,41 @@
         self.local.keys().chain(self.probing.keys())
     }
 
-    /// Returns whether a worker counts as failed and is to be replaced.
+    /// Returns whether a worker responded lately to another entry although some entry suspects it.
+    pub fn is_reached_by_others(&self, now: Time, start: &Start) -> bool {
+        let is_fresh = |report: &Report| now.since(report.at) < self.timing.reached_ttl;
+        let mut reports = self.reports.values();
+        reports.any(|report| is_fresh(report) && report.reached.contains(start))
+    }
+
+    /// Returns the workers to report to other entries that suspect them: those that responded
+    /// lately to a probe of this entry.
+    pub fn reached(&self, now: Time) -> impl Iterator<Item = &Start> {
+        let suspected = self.reports.values().flat_map(|report| &report.suspected);
+        let suspected: BTreeSet<&Start> = suspected.collect();
+        suspected
+            .into_iter()
+            .filter(move |start| self.is_alive(now, start))
+    }
+
+    /// Returns whether a worker responded lately to a probe of this entry.
+    fn is_alive(&self, now: Time, start: &Start) -> bool {
+        let responded_at = self.last_success.get(start);
+        responded_at.is_some_and(|at| now.since(*at) < self.timing.alive_ttl)
+    }
+
+    /// Returns whether a worker counts as failed and is to be replaced. One that another entry
+    /// reaches has not failed.
     pub fn is_failed(&self, now: Time, start: &Start) -> bool {
         let Some(suspicion) = self.local.get(start) else {
             return false;
         };
-        let fresh = |at: Time| now.since(at) < self.timing.suspicion_ttl;
-        let mut reports = self.reported.values();
-        let others = reports.any(|(at, reported)| fresh(*at) && reported.contains(start));
+        if self.is_reached_by_others(now, start) {
+            return false;
+        }
+        let is_fresh = |report: &Report| now.since(report.at) < self.timing.suspicion_ttl;
+        let mut reports = self.reports.values();
+        let others = reports.any(|report| is_fresh(report) && report.suspected.contains(start));
         others || now.since(suspicion.since) >= self.timing.single_observer_timeout
     }
 
@@ -198,8 +245,8 @@
         self.local
             .retain(|_, suspicion| now.since(suspicion.last_confirmed) < suspicion_ttl);
         self.probing.retain(|_, at| now.since(*at) < alive_ttl);
-        self.reported
-            .retain(|_, (at, _)| now.since(*at) < suspicion_ttl);
+        self.reports
+            .retain(|_, report| now.since(report.at) < suspicion_ttl);
         self.last_success.retain(|_, at| now.since(*at) < alive_ttl);
         self.local.len() + self.probing.len() < before
     }
