fix: an endless event no longer keeps the deadline from being checked

Callers of an endless event got no answer for 10 s, where they had got 504 at their deadline, and a busy entry began fewer requests.

Cause: since attempts run side by side, one reads as long as bytes are ready, and nothing else of its request is looked at meanwhile. It now yields after each read.

--- a/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
@@ -10,6 +10,7 @@
 use cyclamen_relay::EventBuffer;
 use cyclamen_types::Time;
 use futures::AsyncReadExt;
+use smol::future::yield_now;
 use trillium::Headers;
 
 use crate::frontend::call::Call;
@@ -142,6 +143,8 @@
                     let pushed = response.events.push(&buffer[..count]);
                     pushed.map_err(|_| Failure::Broken(Break::TooLarge))?;
                     self.record_started();
+                    // Bytes without end must not keep the deadline from being checked.
+                    yield_now().await;
                 }
             }
         }
