feat: an entry that reaches no worker hands requests over to one that does

Cause: a request could get to a worker only from the entry that got it from the caller. Now an entry that finds no worker, fails to connect, or is slow to, sends it over HTTP to a peer that says that it reaches the service and model (handover_listen; authenticated by the secret that entries share). The peer sends it to one worker and never on. It says whether a worker received it (Reply), so that what may not be repeated isn't, and 'not run' stays true on both legs. The first entry keeps budget, attempts, deadline and the caller; streams go on by Last-Event-Id.

--- a/crates/cyclamen-gateway/src/frontend.rs
+++ b/crates/cyclamen-gateway/src/frontend.rs
@@ -4,17 +4,20 @@
 mod call;
 mod check;
 mod containment;
+mod handover;
 mod refusal;
 mod request;
 mod response;
 mod send;
 mod stream;
+mod way;
 
 use std::sync::Arc;
 
 use trillium::{Conn, Handler, KnownHeaderName};
 
 use crate::node::{FOLLOWED_TABLES, Node};
+pub(crate) use handover::Receiver;
 use refusal::Refusal;
 use request::Request;
 
@@ -32,6 +35,11 @@
 
 async fn forward(node: &Arc<Node>, conn: &mut Conn) -> Result<(), Refusal> {
     let request = Request::read(node, conn).await?;
+    run(request, conn).await
+}
+
+/// Runs a request on a worker and responds with the worker's response.
+async fn run(request: Request, conn: &mut Conn) -> Result<(), Refusal> {
     if request.call.route.streaming {
         stream::forward(request, conn).await
     } else {
--- a/crates/cyclamen-gateway/src/frontend/buffered.rs
+++ b/crates/cyclamen-gateway/src/frontend/buffered.rs
@@ -1,9 +1,7 @@
 //! Requests whose response is read completely before it is forwarded.
 
-use std::time::Duration;
-
-use cyclamen_dispatch::{Dispatch, Outcome};
-use cyclamen_http::{Error, StreamingResponse};
+use cyclamen_dispatch::Outcome;
+use cyclamen_http::StreamingResponse;
 use cyclamen_relay::Reservation;
 use futures::{AsyncRead, AsyncReadExt};
 use smol::Timer;
@@ -14,17 +12,13 @@
 use crate::frontend::refusal::Refusal;
 use crate::frontend::request::Request;
 use crate::frontend::response::{Class, classify, is_success, record_notices};
-use crate::frontend::send::send;
-use crate::tasks;
+use crate::frontend::way::{SendError, Way};
 
 /// The maximum size of a response body in memory, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// The number of bytes of a body that are read at once.
 const READ_BYTES: usize = 8 << 10;
 
-/// The retry delay sent to callers when no worker could be reached.
-const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(300);
-
 /// A complete response of a worker.
 struct Response {
     status: u16,
@@ -35,7 +29,7 @@
 
 /// Why an attempt has no response to forward.
 enum Failure {
-    /// No connection was made.
+    /// The request did not get to a worker.
     NotSent,
     /// The worker did not run the request.
     NotRun,
@@ -60,8 +54,8 @@
         request.finish("caller_gone", 0, None);
         return Err(Refusal::failed("caller_gone"));
     };
-    let (response, dispatch) = result.map_err(|refusal| request.record_refusal(refusal))?;
-    request.finish("answered", response.status, Some(&dispatch));
+    let (response, way) = result.map_err(|refusal| request.record_refusal(refusal))?;
+    request.finish("answered", response.status, Some(&way));
     conn.set_status(response.status);
     conn.response_headers_mut().append_all(response.headers);
     conn.set_body(response.body);
@@ -71,18 +65,18 @@
 }
 
 /// Sends the request to workers until one responds or no retry is allowed.
-async fn run(request: &mut Request) -> Result<(Response, Dispatch), Refusal> {
+async fn run(request: &mut Request) -> Result<(Response, Way), Refusal> {
     loop {
-        let dispatch = request.choose()?;
-        match attempt(&request.call, &dispatch).await {
+        let way = request.choose()?;
+        match attempt(&request.call, &way).await {
             Ok(response) => {
                 request.call.record_completion(is_success(response.status));
-                return Ok((response, dispatch));
+                return Ok((response, way));
             }
             Err(Failure::NotSent) => {
-                tasks::probe_group(&request.call.node, &dispatch.target);
-                if !request.record_failed_connect() {
-                    return Err(Refusal::retry_later("not_connected", CONNECT_RETRY_DELAY));
+                request.record_unsent(&way);
+                if request.call.remaining().is_zero() {
+                    return Err(Refusal::deadline_exceeded());
                 }
             }
             Err(Failure::NotRun) => {
@@ -93,12 +87,12 @@
             Err(Failure::Failed(response)) => {
                 request.may_have_run = true;
                 if !request.call.is_repeatable() || !request.try_spend_retry() {
-                    return Ok((*response, dispatch));
+                    return Ok((*response, way));
                 }
             }
             Err(failure @ (Failure::Closed | Failure::Unknown)) => {
-                if matches!(failure, Failure::Closed) {
-                    request.call.record_disconnect(&dispatch);
+                if let (Failure::Closed, Way::Worker(dispatch)) = (&failure, &way) {
+                    request.call.record_disconnect(dispatch);
                 }
                 request.may_have_run = true;
                 if !request.call.is_repeatable() || !request.try_spend_retry() {
@@ -119,13 +113,13 @@
 }
 
 /// Sends the request once.
-async fn attempt(call: &Call, dispatch: &Dispatch) -> Result<Response, Failure> {
+async fn attempt(call: &Call, way: &Way) -> Result<Response, Failure> {
     let mut in_progress = InProgress {
         call,
-        dispatch,
+        way,
         outcome: Outcome::Cancelled,
     };
-    let result = exchange(call, dispatch).await;
+    let result = exchange(call, way).await;
     in_progress.outcome = match &result {
         Ok(_) => Outcome::Complete,
         Err(Failure::NotRun) => Outcome::Shed,
@@ -139,26 +133,27 @@
 /// disconnects.
 struct InProgress<'a> {
     call: &'a Call,
-    dispatch: &'a Dispatch,
+    way: &'a Way,
     outcome: Outcome,
 }
 
 impl Drop for InProgress<'_> {
     fn drop(&mut self) {
-        self.call.record_outcome(self.dispatch, self.outcome, false);
+        self.way.record_outcome(self.call, self.outcome, false);
     }
 }
 
-async fn exchange(call: &Call, dispatch: &Dispatch) -> Result<Response, Failure> {
-    let response = send(call, dispatch, None)
-        .await
-        .map_err(|error| match error {
-            Error::NotSent => Failure::NotSent,
-            Error::TimedOut => Failure::TimedOut,
-            Error::Closed => Failure::Closed,
-            Error::Malformed => Failure::Unknown,
-        })?;
-    record_notices(call, dispatch, &response);
+async fn exchange(call: &Call, way: &Way) -> Result<Response, Failure> {
+    let response = way.send(call, None).await.map_err(|error| match error {
+        SendError::NotSent | SendError::Refused(_) => Failure::NotSent,
+        SendError::NotRun => Failure::NotRun,
+        SendError::TimedOut => Failure::TimedOut,
+        SendError::Closed => Failure::Closed,
+        SendError::Unknown => Failure::Unknown,
+    })?;
+    if let Way::Worker(dispatch) = way {
+        record_notices(call, dispatch, &response);
+    }
     let class = classify(call, &response);
     match class {
         Class::NotRun => return Err(Failure::NotRun),
--- a/crates/cyclamen-gateway/src/frontend/call.rs
+++ b/crates/cyclamen-gateway/src/frontend/call.rs
@@ -6,12 +6,16 @@
 use cyclamen_directory::route::Repeat;
 use cyclamen_directory::service::Service;
 use cyclamen_directory::{Route, Team};
-use cyclamen_dispatch::{Dispatch, Outcome};
+use cyclamen_dispatch::{Criteria, Dispatch};
+use cyclamen_peer::Capability;
 use cyclamen_route::containment::{Fingerprint, Part};
-use cyclamen_types::{Time, model, pool};
+use cyclamen_types::{Time, entry, instance, model, pool};
 use trillium::{Headers, Method};
 
+use crate::frontend::containment::shared_parts;
+use crate::frontend::refusal::Refusal;
 use crate::node::Node;
+use crate::platform::{Dialect, Table};
 
 /// A caller's request as it is sent to workers; its attempts share it.
 #[derive(Clone)]
@@ -33,6 +37,8 @@
     pub(crate) body: Vec<u8>,
     pub(crate) arrived_at: Time,
     pub(crate) deadline: Time,
+    /// The entry that handed the request over, unless a caller sent it.
+    pub(crate) sender: Option<entry::Name>,
     pub(super) fingerprint: OnceLock<Fingerprint>,
 }
 
@@ -75,17 +81,70 @@
         &self.service.name
     }
 
-    /// Records that the response to the request has begun.
-    pub(crate) fn record_started(&self, dispatch: &Dispatch) {
-        self.node.state().dispatcher.record_started(dispatch);
+    /// Returns the service, and the model if the service runs models.
+    pub(super) fn capability(&self) -> Capability {
+        Capability {
+            service: self.service.name.clone(),
+            model: self.model.clone(),
+        }
     }
 
-    /// Records how the request ended on a worker; `started` is whether its response had begun.
-    pub(crate) fn record_outcome(&self, dispatch: &Dispatch, outcome: Outcome, started: bool) {
+    /// Chooses a worker that is not excluded, and counts the request as in progress on it.
+    pub(super) fn choose_worker(&self, exclude: &[instance::Id]) -> Result<Dispatch, Refusal> {
         let now = self.node.now();
-        self.node
-            .state()
-            .dispatcher
-            .record_outcome(now, dispatch, outcome, started);
+        let mut guard = self.node.state();
+        let state = &mut *guard;
+        let is_late = self.waited(now) >= self.route.goal;
+        let criteria = Criteria {
+            service: &self.service.name,
+            model: self.model.as_ref(),
+            zone: &state.zone,
+            domains: &state.cell.domains,
+            exclude,
+            goal: self.route.goal,
+            remaining: self.deadline.since(now),
+            late: is_late,
+            tokens: self.tokens,
+            position: state.position(),
+        };
+        let chosen = state.dispatcher.choose(now, &criteria, &mut state.rng);
+        chosen.map_err(|refusal| {
+            log::info!(
+                "event=not_dispatched id={} model={} reason={} workers={} least_wait_ms={} \
+                 goal_ms={} late={is_late} list_revision={} retry_after_ms={}",
+                self.id,
+                self.model.as_ref().map_or("none", |m| m.as_str()),
+                refusal.reason.as_str(),
+                refusal.workers,
+                refusal.least_wait.unwrap_or_default().as_millis(),
+                self.route.goal.as_millis(),
+                state.as_of(Table::Instances),
+                refusal.retry_after.as_millis()
+            );
+            Refusal::retry_later(refusal.reason.as_str(), refusal.retry_after)
+        })
+    }
+}
+
+/// What the head of a request says about its prompt.
+pub(super) struct Prompt {
+    pub(super) model: Option<model::Name>,
+    pub(super) parts: Arc<[Part]>,
+    pub(super) tokens: u64,
+}
+
+impl Prompt {
+    /// Reads the headers of a request for a service.
+    pub(super) fn read(dialect: &Dialect, headers: &Headers, service: &Service) -> Self {
+        let model = headers.get_str(dialect.model);
+        let model = model.and_then(|text| text.parse().ok());
+        let tokens = headers.get_str(dialect.tokens);
+        let tokens = tokens.and_then(|text| text.split(',').next()?.parse().ok());
+        let parts = headers.get_str(dialect.prompt_parts);
+        Self {
+            model: model.filter(|_| service.engine.is_some()),
+            parts: parts.map_or_else(Vec::new, shared_parts).into(),
+            tokens: tokens.unwrap_or(0),
+        }
     }
 }
--- a/crates/cyclamen-gateway/src/frontend/refusal.rs
+++ b/crates/cyclamen-gateway/src/frontend/refusal.rs
@@ -4,6 +4,8 @@
 
 use trillium::{Conn, KnownHeaderName};
 
+use crate::handover::{Reply, as_millis};
+
 /// The retry delay sent to callers while the entry has no configuration yet.
 const UNCONFIGURED_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// The retry delay sent to callers when the entry may not retry a request again.
@@ -17,6 +19,8 @@
     pub(crate) reason: &'static str,
     /// The retry delay, only for requests that did not run.
     pub(crate) retry_after: Option<Duration>,
+    /// Whether a worker received the request.
+    pub(crate) was_sent: bool,
 }
 
 impl Refusal {
@@ -26,6 +30,7 @@
             status,
             reason,
             retry_after: None,
+            was_sent: false,
         }
     }
 
@@ -35,6 +40,29 @@
             status: 503,
             reason,
             retry_after: Some(retry_after),
+            was_sent: false,
+        }
+    }
+
+    /// A request that a worker received and certainly did not run.
+    pub(crate) fn not_run(reason: &'static str, retry_after: Duration) -> Self {
+        Self {
+            was_sent: true,
+            ..Self::retry_later(reason, retry_after)
+        }
+    }
+
+    /// A request that another entry did not send to any worker.
+    pub(crate) fn by_entry(retry_after_ms: u64) -> Self {
+        Self::retry_later("refused_by_entry", Duration::from_millis(retry_after_ms))
+    }
+
+    /// Returns what a request that ends with this refusal is for the entry that handed it over.
+    pub(crate) fn reply(self) -> Reply {
+        match self.retry_after {
+            Some(_) if self.was_sent => Reply::NotRun,
+            Some(retry_after) => Reply::Refused(as_millis(retry_after)),
+            None => Reply::Unknown,
         }
     }
 
@@ -43,9 +71,9 @@
         Self::retry_later("unconfigured", UNCONFIGURED_RETRY_DELAY)
     }
 
-    /// A request that did not run and that the entry may not retry again.
+    /// A request that a worker did not run and that the entry may not retry again.
     pub(crate) fn retries_spent() -> Self {
-        Self::retry_later("retries_spent", RETRIES_SPENT_RETRY_DELAY)
+        Self::not_run("retries_spent", RETRIES_SPENT_RETRY_DELAY)
     }
 
     /// A request that an endpoint failed, whose outcome is unknown or whose caller disconnected.
--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -3,28 +3,41 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use cyclamen_dispatch::{Criteria, Dispatch};
-use cyclamen_types::instance;
+use cyclamen_dispatch::Reason;
+use cyclamen_types::{Time, entry, instance};
 use rand::Rng;
 use trillium::{Conn, KnownHeaderName};
 
-use crate::frontend::call::Call;
+use crate::frontend::call::{Call, Prompt};
 use crate::frontend::check::{Checked, check, read_body, record_refused_head};
-use crate::frontend::containment::shared_parts;
 use crate::frontend::refusal::Refusal;
+use crate::frontend::way::{Handover, Way};
 use crate::node::Node;
 use crate::platform::Table;
+use crate::tasks;
 
 /// Number of failed connections to workers at which a request is refused.
 const MAX_FAILED_CONNECTS: u32 = 3;
 
+/// The time after which a request whose connections failed is rather handed over than sent to
+/// another worker.
+const SLOW_CONNECT: Duration = Duration::from_millis(100);
+/// Number of entries to which a request is handed over at most.
+const MAX_HANDOVERS: usize = 3;
+/// The retry delay sent to callers when no worker could be reached.
+const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(300);
+
 /// A caller's request and its progress.
 pub(crate) struct Request {
     pub(crate) call: Arc<Call>,
-    /// Workers that were chosen for the request.
+    /// Workers that were chosen for the request by this entry.
     pub(crate) tried: Vec<instance::Id>,
+    /// Entries to which the request was handed over.
+    tried_entries: Vec<entry::Name>,
     /// Whether a worker may have run the request.
     pub(crate) may_have_run: bool,
+    /// The number of times that a worker received the request, or may have.
+    sent: u32,
     failed_connects: u32,
     finished: bool,
 }
@@ -38,17 +51,14 @@
         let Checked { id, route, team } =
             checked.inspect_err(|refusal| record_refused_head(node, conn, *refusal))?;
         let dialect = node.platform.dialect();
-        let header = |name: &'static str| conn.request_headers().get_str(name);
-        let requested = header(dialect.deadline_ms).and_then(|text| text.parse::<u64>().ok());
+        let requested = conn.request_headers().get_str(dialect.deadline_ms);
+        let requested = requested.and_then(|text| text.parse::<u64>().ok());
         let requested = requested.map_or(route.timeout, Duration::from_millis);
         let deadline = arrived_at + requested.min(route.timeout);
-        let tokens = header(dialect.tokens).and_then(|text| text.split(',').next()?.parse().ok());
-        let parts = header(dialect.prompt_parts).map_or_else(Vec::new, shared_parts);
         let draw = node.state().rng.random();
         let service = route.target(draw).and_then(|name| catalog.service(name));
         let service = service.ok_or(Refusal::unconfigured())?.clone();
-        let model = header(dialect.model).and_then(|text| text.parse().ok());
-        let model = model.filter(|_| service.engine.is_some());
+        let prompt = Prompt::read(dialect, conn.request_headers(), &service);
         let mut headers = cyclamen_relay::end_to_end(conn.request_headers());
         headers.remove_all([
             dialect.deadline_ms,
@@ -61,24 +71,22 @@
             node: node.clone(),
             id,
             team,
-            model,
-            parts: parts.into(),
-            tokens: tokens.unwrap_or(0),
+            model: prompt.model,
+            parts: prompt.parts,
+            tokens: prompt.tokens,
             method: conn.method(),
             path: conn.path_and_query().into(),
             headers,
             body: Vec::new(),
             arrived_at,
             deadline,
+            sender: None,
             fingerprint: OnceLock::new(),
             service,
             route,
         };
         let mut request = Self::new(call);
-        match read_body(conn, catalog.limits().body_bytes).await {
-            Ok(body) => Arc::make_mut(&mut request.call).body = body,
-            Err(refusal) => return Err(request.record_refusal(refusal)),
-        }
+        request.read_body(conn, catalog.limits().body_bytes).await?;
         let now = node.now();
         node.state()
             .retry_budget(request.call.service_name())
@@ -86,76 +94,108 @@
         Ok(request)
     }
 
+    /// Reads the body, of `limit` bytes at most.
+    pub(super) async fn read_body(&mut self, conn: &mut Conn, limit: u64) -> Result<(), Refusal> {
+        match read_body(conn, limit).await {
+            Ok(body) => Arc::make_mut(&mut self.call).body = body,
+            Err(refusal) => return Err(self.record_refusal(refusal)),
+        }
+        Ok(())
+    }
+
     /// Creates a request that no worker has received, and counts it as in progress.
-    fn new(call: Call) -> Self {
+    pub(super) fn new(call: Call) -> Self {
         call.node.state().in_progress += 1;
         Self {
             call: Arc::new(call),
             tried: Vec::new(),
+            tried_entries: Vec::new(),
             may_have_run: false,
+            sent: 0,
             failed_connects: 0,
             finished: false,
         }
     }
 
-    /// Chooses a worker and counts the request as in progress on it.
-    pub(crate) fn choose(&mut self) -> Result<Dispatch, Refusal> {
-        let call = &self.call;
-        call.check_containment()?;
+    /// Chooses a worker, or an entry that reaches one if this entry does not, and counts the request
+    /// as in progress there.
+    pub(crate) fn choose(&mut self) -> Result<Way, Refusal> {
+        self.call.check_containment()?;
+        let way = self.choose_way()?;
+        self.sent += 1;
+        match &way {
+            Way::Worker(dispatch) => self.tried.push(dispatch.target.instance.clone()),
+            Way::Entry(handover) => self.tried_entries.push(handover.receiver.entry.clone()),
+        }
+        Ok(way)
+    }
+
+    fn choose_way(&mut self) -> Result<Way, Refusal> {
+        let call = self.call.clone();
         let now = call.node.now();
-        let mut guard = call.node.state();
-        let state = &mut *guard;
-        let is_late = call.waited(now) >= call.route.goal;
-        let criteria = Criteria {
-            service: &call.service.name,
-            model: call.model.as_ref(),
-            zone: &state.zone,
-            domains: &state.cell.domains,
-            exclude: &self.tried,
-            goal: call.route.goal,
-            remaining: call.deadline.since(now),
-            late: is_late,
-            tokens: call.tokens,
-            position: state.position(),
-        };
-        let chosen = state.dispatcher.choose(now, &criteria, &mut state.rng);
-        let dispatch = chosen.map_err(|refusal| {
-            log::info!(
-                "event=not_dispatched id={} model={} reason={} workers={} least_wait_ms={} \
-                 goal_ms={} late={is_late} list_revision={} retry_after_ms={}",
-                call.id,
-                call.model.as_ref().map_or("none", |m| m.as_str()),
-                refusal.reason.as_str(),
-                refusal.workers,
-                refusal.least_wait.unwrap_or_default().as_millis(),
-                call.route.goal.as_millis(),
-                state.as_of(Table::Instances),
-                refusal.retry_after.as_millis()
-            );
-            Refusal::retry_later(refusal.reason.as_str(), refusal.retry_after)
-        })?;
-        drop(guard);
-        self.tried.push(dispatch.target.instance.clone());
-        Ok(dispatch)
+        let is_slow = self.failed_connects > 0 && call.waited(now) >= SLOW_CONNECT;
+        let is_cut_off = call.node.state().is_cut_off(now, call.service_name());
+        if is_cut_off || is_slow {
+            let reason = if is_cut_off {
+                "cut_off"
+            } else {
+                "slow_connect"
+            };
+            if let Some(handover) = self.hand_over(now, reason) {
+                return Ok(Way::Entry(handover));
+            }
+        }
+        if self.failed_connects >= MAX_FAILED_CONNECTS {
+            let handover = self.hand_over(now, "not_connected").map(Way::Entry);
+            return handover.ok_or(Refusal::retry_later("not_connected", CONNECT_RETRY_DELAY));
+        }
+        match call.choose_worker(&self.tried) {
+            Ok(dispatch) => Ok(Way::Worker(dispatch)),
+            Err(refusal) if refusal.reason == Reason::NoWorker.as_str() => {
+                let handover = self.hand_over(now, refusal.reason).map(Way::Entry);
+                handover.ok_or(refusal)
+            }
+            Err(refusal) => Err(refusal),
+        }
     }
 
-    /// Records a failed connection to a worker; returns whether another worker may be tried.
-    pub(crate) fn record_failed_connect(&mut self) -> bool {
-        self.failed_connects += 1;
-        self.may_connect_again()
+    /// Chooses an entry that reaches workers for the request, unless it was handed over itself.
+    fn hand_over(&self, now: Time, reason: &'static str) -> Option<Handover> {
+        let call = &self.call;
+        if call.sender.is_some() || self.tried_entries.len() >= MAX_HANDOVERS {
+            return None;
+        }
+        let mut state = call.node.state();
+        let receiver = state.choose_receiver(now, &call.capability(), &self.tried_entries)?;
+        drop(state);
+        log::info!(
+            "event=handed_over id={} peer={} reason={reason} waited_ms={} failed_connects={}",
+            call.id,
+            receiver.entry,
+            call.waited(now).as_millis(),
+            self.failed_connects
+        );
+        Some(Handover {
+            receiver,
+            chosen_at: now,
+            tried: self.tried.as_slice().into(),
+        })
     }
 
-    /// Returns whether the request may be sent to another worker after failed connections.
-    pub(crate) fn may_connect_again(&self) -> bool {
-        self.failed_connects < MAX_FAILED_CONNECTS && !self.call.remaining().is_zero()
+    /// Records that the request did not get to a worker by a way that was chosen.
+    pub(crate) fn record_unsent(&mut self, way: &Way) {
+        self.sent = self.sent.saturating_sub(1);
+        if let Way::Worker(dispatch) = way {
+            self.failed_connects += 1;
+            tasks::probe_group(&self.call.node, &dispatch.target);
+        }
     }
 
     /// Returns whether the request may be sent to another worker; if so, spends a retry of the
     /// service's budget.
     pub(crate) fn try_spend_retry(&mut self) -> bool {
         let call = &self.call;
-        let attempts = (self.tried.len() as u32).saturating_sub(self.failed_connects);
-        if attempts >= call.route.attempts || call.remaining().is_zero() {
+        if self.sent >= call.route.attempts || call.remaining().is_zero() {
             return false;
         }
         let now = call.node.now();
@@ -178,12 +218,7 @@
     }
 
     /// Logs and counts the end of the request; only the first call has an effect.
-    pub(crate) fn finish(
-        &mut self,
-        outcome: &'static str,
-        status: u16,
-        dispatch: Option<&Dispatch>,
-    ) {
+    pub(crate) fn finish(&mut self, outcome: &'static str, status: u16, way: Option<&Way>) {
         if std::mem::replace(&mut self.finished, true) {
             return;
         }
@@ -196,17 +231,32 @@
         let age = state.table_age(now, Table::Operators);
         drop(state);
         let service = call.service.name.as_str();
-        call.node.metrics.record_request(service, outcome, elapsed);
+        let dispatch = way.and_then(Way::dispatch);
         let worker = dispatch.map_or("none", |dispatch| dispatch.target.instance.as_str());
+        if let Some(sender) = &call.sender {
+            call.node.metrics.record_served_handover(outcome);
+            log::info!(
+                "event=handover_ended id={} from={sender} service={service} outcome={outcome} \
+                 status={status} instance={worker} tried={} took_ms={}",
+                call.id,
+                self.tried.len(),
+                elapsed.as_millis()
+            );
+            return;
+        }
+        call.node.metrics.record_request(service, outcome, elapsed);
         let running = dispatch.map_or(0, |dispatch| dispatch.running);
+        let entry = self.tried_entries.last();
         log::info!(
             "event=request id={} route={} service={service} outcome={outcome} status={status} \
-             instance={worker} running={running} tried={} took_ms={} version={version} age_ms={}",
+             instance={worker} running={running} tried={} took_ms={} version={version} age_ms={} \
+             peer={}",
             call.id,
             call.route.name,
             self.tried.len(),
             elapsed.as_millis(),
-            age.as_millis()
+            age.as_millis(),
+            entry.map_or("none", |entry| entry.as_str())
         );
     }
 
--- a/crates/cyclamen-gateway/src/frontend/send.rs
+++ b/crates/cyclamen-gateway/src/frontend/send.rs
@@ -1,10 +1,12 @@
-//! Sends a request to a worker.
+//! Sends a request to a worker or another entry.
 
 use cyclamen_dispatch::Dispatch;
 use cyclamen_http::{Error, StreamingResponse};
 use trillium::Headers;
 
 use crate::frontend::call::Call;
+use crate::frontend::way::Handover;
+use crate::handover::{Envelope, as_millis};
 
 /// The lowest urgency that workers accept; a larger number is less urgent.
 const LEAST_URGENT: u8 = 9;
@@ -28,6 +30,44 @@
     call.node.http.call_streaming(outbound).await
 }
 
+/// Hands a request over to another entry and returns the response once its head is received.
+pub(crate) async fn send_to_entry(
+    call: &Call,
+    handover: &Handover,
+    last_event_id: Option<u64>,
+) -> Result<StreamingResponse, Error> {
+    let node = &call.node;
+    let url = format!("http://{}{}", handover.receiver.address, call.path);
+    let mut headers = call.headers.clone();
+    insert_last_event_id(call, last_event_id, &mut headers);
+    envelope(call, handover).write(node.settings.peer_secret.reveal(), &mut headers);
+    let outbound = cyclamen_http::Request {
+        method: call.method,
+        url: &url,
+        headers,
+        body: call.body.clone(),
+        timeout: call.remaining(),
+    };
+    node.http.call_streaming(outbound).await
+}
+
+fn envelope(call: &Call, handover: &Handover) -> Envelope {
+    let now = call.node.now();
+    Envelope {
+        sender: call.node.settings.name.clone(),
+        route: call.route.name.clone(),
+        service: call.service.name.clone(),
+        team: call.team.as_ref().map(|team| team.name.clone()),
+        priority: call.priority(),
+        repeat: call.route.repeat.into(),
+        streaming: call.route.streaming,
+        goal_ms: as_millis(call.route.goal),
+        waited_ms: as_millis(call.waited(now)),
+        remaining_ms: as_millis(call.remaining()),
+        tried: handover.tried.to_vec(),
+    }
+}
+
 fn headers(call: &Call, dispatch: &Dispatch, last_event_id: Option<u64>) -> Headers {
     let dialect = call.node.platform.dialect();
     let mut headers = call.headers.clone();
@@ -45,8 +85,13 @@
     if let Some(team) = &call.team {
         headers.insert(dialect.team, team.name.to_string());
     }
+    insert_last_event_id(call, last_event_id, &mut headers);
+    headers
+}
+
+fn insert_last_event_id(call: &Call, last_event_id: Option<u64>, headers: &mut Headers) {
     if let Some(id) = last_event_id {
-        headers.insert(dialect.last_event_id, id.to_string());
+        let name = call.node.platform.dialect().last_event_id;
+        headers.insert(name, id.to_string());
     }
-    headers
 }
--- a/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
@@ -1,12 +1,12 @@
-//! One attempt to run a streaming request on a worker.
+//! One attempt to run a streaming request.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use cyclamen_dispatch::{Dispatch, Outcome};
-use cyclamen_http::{Error, StreamingResponse};
+use cyclamen_dispatch::Outcome;
+use cyclamen_http::StreamingResponse;
 use cyclamen_relay::EventBuffer;
 use cyclamen_types::Time;
 use futures::AsyncReadExt;
@@ -14,14 +14,20 @@
 use trillium::Headers;
 
 use crate::frontend::call::Call;
+use crate::frontend::refusal::Refusal;
 use crate::frontend::response::{Class, classify, is_success, record_notices};
-use crate::frontend::send::send;
+use crate::frontend::way::{SendError, Way};
+use crate::node::Loss;
+use crate::tasks;
 
 /// Size of the buffer for reads from a worker, in bytes.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 /// The delay of a first event beyond its forecast that is tolerated before the group is
 /// probed.
 const FORECAST_SLACK: Duration = Duration::from_millis(100);
+/// The silence of another entry after which a request that was handed over to it is sent elsewhere
+/// besides.
+const HANDOVER_SILENCE: Duration = Duration::from_secs(1);
 /// How long after its first bytes a response counts as beginning.
 const BEGINNING_DURATION: Duration = Duration::from_millis(500);
 
@@ -50,6 +56,8 @@
 pub(super) enum Failure {
     /// No connection was made.
     NotSent,
+    /// The other entry did not send the request to a worker.
+    Refused(Refusal),
     /// The worker did not run the request.
     NotRun,
     /// The worker closed the connection before the response head.
@@ -68,7 +76,7 @@
     events: EventBuffer,
 }
 
-type Opening = Pin<Box<dyn Future<Output = Result<StreamingResponse, Error>> + Send>>;
+type Opening = Pin<Box<dyn Future<Output = Result<StreamingResponse, SendError>> + Send>>;
 
 enum State {
     /// The request is being sent, or the response head is awaited.
@@ -76,15 +84,15 @@
     Open(Box<Response>),
 }
 
-/// One attempt to run a streaming request on a worker.
+/// One attempt to run a streaming request, on a worker of this entry's or another entry's choice.
 ///
 /// Dropping it cancels the request there.
 pub(super) struct Attempt {
     call: Arc<Call>,
-    pub(super) dispatch: Dispatch,
+    pub(super) way: Way,
     state: State,
     /// When a complete event was last received; at first, when the response head was received, or
-    /// else when the worker was chosen.
+    /// else when the way was chosen.
     pub(super) last_event_at: Time,
     /// When the first bytes of the body were received.
     started_at: Option<Time>,
@@ -94,24 +102,19 @@
 }
 
 impl Attempt {
-    /// Sends a request to a worker.
+    /// Sends a request.
     ///
     /// The response begins after the event with the id `after`; `continues` is whether the caller
     /// has received the head of another response.
-    pub(super) fn start(
-        call: &Arc<Call>,
-        dispatch: Dispatch,
-        after: Option<u64>,
-        continues: bool,
-    ) -> Self {
+    pub(super) fn start(call: &Arc<Call>, way: Way, after: Option<u64>, continues: bool) -> Self {
         let opening = {
-            let (call, dispatch) = (call.clone(), dispatch.clone());
-            async move { send(&call, &dispatch, after).await }
+            let (call, way) = (call.clone(), way.clone());
+            async move { way.send(&call, after).await }
         };
         Self {
             call: call.clone(),
-            last_event_at: dispatch.chosen_at,
-            dispatch,
+            last_event_at: way.chosen_at(),
+            way,
             state: State::Opening(Box::pin(opening)),
             started_at: None,
             continues,
@@ -152,7 +155,9 @@
 
     /// Accepts a response, unless its head shows that the request must be retried or refused.
     fn accept(&mut self, response: StreamingResponse) -> Result<(), Failure> {
-        record_notices(&self.call, &self.dispatch, &response);
+        if let Way::Worker(dispatch) = &self.way {
+            record_notices(&self.call, dispatch, &response);
+        }
         match classify(&self.call, &response) {
             Class::NotRun => return Err(Failure::NotRun),
             Class::Invalid => return Err(Failure::Unknown),
@@ -188,7 +193,7 @@
             return;
         }
         self.started_at = Some(self.call.node.now());
-        self.call.record_started(&self.dispatch);
+        self.way.record_started(&self.call);
         self.log_first_event();
     }
 
@@ -197,24 +202,34 @@
         let node = &self.call.node;
         let now = node.now();
         self.last_event_at = now;
-        node.state().record_progress(now, &self.dispatch.target);
+        if let Way::Worker(dispatch) = &self.way {
+            node.state().record_progress(now, &dispatch.target);
+        }
     }
 
     fn log_first_event(&self) {
-        let Dispatch { target, .. } = &self.dispatch;
         let now = self.call.node.now();
+        let wait_ms = now.since(self.way.chosen_at()).as_millis();
+        let is_late = self.call.is_late();
+        let Way::Worker(dispatch) = &self.way else {
+            log::info!(
+                "event=first_event id={} {} wait_ms={wait_ms} late={is_late}",
+                self.call.id,
+                self.way
+            );
+            return;
+        };
+        let target = &dispatch.target;
         log::info!(
-            "event=first_event id={} instance={} model={} wait_ms={} forecast_ms={} \
-             running={} backlog={} tokens={} late={}",
+            "event=first_event id={} instance={} model={} wait_ms={wait_ms} forecast_ms={} \
+             running={} backlog={} tokens={} late={is_late}",
             self.call.id,
             target.instance,
             target.model.as_ref().map_or("none", |m| m.as_str()),
-            now.since(self.dispatch.chosen_at).as_millis(),
-            self.dispatch.forecast.as_millis(),
-            self.dispatch.running,
-            self.dispatch.backlog,
-            self.dispatch.tokens,
-            self.call.is_late()
+            dispatch.forecast.as_millis(),
+            dispatch.running,
+            dispatch.backlog,
+            dispatch.tokens
         );
     }
 
@@ -222,7 +237,7 @@
     pub(super) fn record_outcome(&mut self, outcome: Outcome) {
         if !std::mem::replace(&mut self.is_recorded, true) {
             let started = self.has_started();
-            self.call.record_outcome(&self.dispatch, outcome, started);
+            self.way.record_outcome(&self.call, outcome, started);
         }
     }
 
@@ -257,9 +272,26 @@
             .is_none_or(|at| now.since(at) < BEGINNING_DURATION)
     }
 
-    /// Returns whether the silence of the worker is a reason to probe its group.
-    pub(super) fn is_probe_due(&self, silent: Duration) -> bool {
-        self.has_started() || silent >= self.dispatch.forecast + FORECAST_SLACK
+    /// Returns why the worker or the other entry may not make progress, if it may not, after a
+    /// silence of this duration.
+    pub(super) fn loss(&self, now: Time, silent: Duration) -> Option<Loss> {
+        let state = self.call.node.state();
+        match &self.way {
+            Way::Worker(dispatch) => state.group_loss(&dispatch.target),
+            Way::Entry(handover) if !state.is_heard(now, &handover.receiver.entry) => {
+                Some(Loss::EntrySilent)
+            }
+            Way::Entry(_) => (silent >= HANDOVER_SILENCE).then_some(Loss::EntrySilent),
+        }
+    }
+
+    /// Probes the group of the worker if its silence of this duration is a reason to.
+    pub(super) fn probe(&self, silent: Duration) {
+        if let Way::Worker(dispatch) = &self.way
+            && (self.has_started() || silent >= dispatch.forecast + FORECAST_SLACK)
+        {
+            tasks::probe_group(&self.call.node, &dispatch.target);
+        }
     }
 }
 
@@ -285,12 +317,14 @@
     }
 }
 
-impl From<Error> for Failure {
-    fn from(error: Error) -> Self {
+impl From<SendError> for Failure {
+    fn from(error: SendError) -> Self {
         match error {
-            Error::NotSent => Self::NotSent,
-            Error::Closed => Self::Closed,
-            Error::TimedOut | Error::Malformed => Self::Unknown,
+            SendError::NotSent => Self::NotSent,
+            SendError::Refused(refusal) => Self::Refused(refusal),
+            SendError::NotRun => Self::NotRun,
+            SendError::Closed => Self::Closed,
+            SendError::TimedOut | SendError::Unknown => Self::Unknown,
         }
     }
 }
--- a/crates/cyclamen-gateway/src/frontend/stream/relay.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay.rs
@@ -14,6 +14,7 @@
 use crate::frontend::refusal::Refusal;
 use crate::frontend::request::Request;
 use crate::frontend::stream::attempt::{Attempt, Failure, Part};
+use crate::frontend::way::Way;
 use crate::node::Loss;
 use crate::settings::millis;
 use crate::tasks;
@@ -142,9 +143,9 @@
             return Err(Refusal::retries_spent());
         }
         self.may_send = true;
-        let dispatch = self.request.choose()?;
+        let way = self.request.choose()?;
         self.may_send = false;
-        let attempt = Attempt::start(self.call(), dispatch, self.last_event_id, self.has_head);
+        let attempt = Attempt::start(self.call(), way, self.last_event_id, self.has_head);
         self.attempts.push(attempt);
         Ok(())
     }
@@ -156,10 +157,10 @@
         for mut other in std::mem::replace(&mut self.attempts, vec![attempt]) {
             let call = self.call();
             log::info!(
-                "event=attempt_cancelled id={} instance={} replaced={is_replacement} after={:?} \
+                "event=attempt_cancelled id={} {} replaced={is_replacement} after={:?} \
                  silent_ms={}",
                 call.id,
-                other.dispatch.target.instance,
+                other.way,
                 self.last_event_id,
                 call.node.now().since(other.last_event_at).as_millis()
             );
@@ -190,9 +191,9 @@
         attempt.record_outcome(Outcome::Complete);
         let was_answered = attempt.has_started() && attempt.is_success();
         let status = attempt.status().unwrap_or(BAD_GATEWAY);
-        let dispatch = attempt.dispatch.clone();
+        let way = attempt.way.clone();
         self.call().record_completion(was_answered);
-        self.request.finish("answered", status, Some(&dispatch));
+        self.request.finish("answered", status, Some(&way));
     }
 
     /// Ends a failed attempt; fails if no other one runs and the request may not be sent again.
@@ -200,9 +201,9 @@
         let attempt = self.attempts.remove(index);
         let call = self.call().clone();
         log::info!(
-            "event=attempt_failed id={} instance={} cause={failure:?} after={:?} silent_ms={}",
+            "event=attempt_failed id={} {} cause={failure:?} after={:?} silent_ms={}",
             call.id,
-            attempt.dispatch.target.instance,
+            attempt.way,
             self.last_event_id,
             call.node.now().since(attempt.last_event_at).as_millis()
         );
@@ -215,7 +216,7 @@
         }
         let refusal = refusal(failure, self.has_head);
         let may_retry = match failure {
-            Failure::NotSent => return self.retry_unsent(refusal),
+            Failure::NotSent | Failure::Refused(_) => return self.start_attempt(),
             Failure::NotRun => true,
             Failure::Closed | Failure::Unknown | Failure::Failed | Failure::Broken(_) => {
                 call.is_resumable()
@@ -228,20 +229,13 @@
         self.start_attempt()
     }
 
-    /// Sends the request to another worker, unless too many could not be reached.
-    fn retry_unsent(&mut self, refusal: Refusal) -> Result<(), Refusal> {
-        if !self.request.may_connect_again() {
-            return Err(refusal);
-        }
-        self.start_attempt()
-    }
-
     /// Records how a failed attempt ended.
     fn record_failure(&mut self, mut attempt: Attempt, failure: Failure) {
         let call = self.call().clone();
         let outcome = match failure {
             Failure::NotRun => Outcome::Shed,
             Failure::NotSent
+            | Failure::Refused(_)
             | Failure::Closed
             | Failure::Unknown
             | Failure::Failed
@@ -249,8 +243,8 @@
         };
         attempt.record_outcome(outcome);
         match failure {
-            Failure::NotSent => {
-                self.request.record_failed_connect();
+            Failure::NotSent | Failure::Refused(_) => {
+                self.request.record_unsent(&attempt.way);
                 self.may_send = true;
             }
             Failure::NotRun => {}
@@ -258,12 +252,20 @@
                 self.request.may_have_run = true;
             }
         }
-        let is_disconnect = matches!(failure, Failure::Closed | Failure::Broken(_));
-        if is_disconnect && attempt.is_beginning(call.node.now()) {
-            call.record_disconnect(&attempt.dispatch);
+        let Way::Worker(dispatch) = &attempt.way else {
+            return;
+        };
+        match failure {
+            Failure::Closed | Failure::Broken(_) if attempt.is_beginning(call.node.now()) => {
+                call.record_disconnect(dispatch);
+            }
+            _ => {}
         }
-        if !matches!(failure, Failure::Failed | Failure::Broken(_)) {
-            tasks::probe_group(&call.node, &attempt.dispatch.target);
+        if matches!(
+            failure,
+            Failure::NotRun | Failure::Closed | Failure::Unknown
+        ) {
+            tasks::probe_group(&call.node, &dispatch.target);
         }
     }
 
@@ -278,12 +280,9 @@
             if silent < millis(call.node.settings.timing.stall_ms) {
                 continue;
             }
-            let target = &attempt.dispatch.target;
-            let loss = call.node.state().group_loss(target);
-            match loss {
+            match attempt.loss(now, silent) {
                 Some(loss) if call.is_resumable() => lost = lost.or((index == 0).then_some(loss)),
-                _ if attempt.is_probe_due(silent) => tasks::probe_group(&call.node, target),
-                _ => {}
+                _ => attempt.probe(silent),
             }
         }
         if let Some(loss) = lost {
@@ -308,10 +307,10 @@
             return;
         };
         log::info!(
-            "event=replacement_sought id={} instance={} loss={} after={:?} silent_ms={} \
+            "event=replacement_sought id={} {} loss={} after={:?} silent_ms={} \
              result={result}",
             self.call().id,
-            silent.dispatch.target.instance,
+            silent.way,
             loss.as_str(),
             self.last_event_id,
             now.since(silent.last_event_at).as_millis()
@@ -323,7 +322,8 @@
 fn refusal(failure: Failure, has_head: bool) -> Refusal {
     match failure {
         Failure::NotSent => Refusal::retry_later("not_connected", CONNECT_RETRY_DELAY),
-        Failure::NotRun => Refusal::retry_later("shed", CONNECT_RETRY_DELAY),
+        Failure::Refused(refusal) => refusal,
+        Failure::NotRun => Refusal::not_run("shed", CONNECT_RETRY_DELAY),
         Failure::Closed | Failure::Unknown => Refusal::failed("outcome_unknown"),
         Failure::Broken(_) if has_head => Refusal::failed("stream_broken"),
         Failure::Failed | Failure::Broken(_) => Refusal::failed("endpoint_failed"),
--- a/crates/cyclamen-gateway/src/lib.rs
+++ b/crates/cyclamen-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod clock;
 mod frontend;
+mod handover;
 mod metrics;
 mod node;
 mod run;
--- a/crates/cyclamen-gateway/src/metrics.rs
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cyclamen_cache::Era;
+use cyclamen_dispatch::Outcome;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -26,6 +27,9 @@
     orders: Counter<u64>,
     store_calls: Counter<u64>,
     crashes: Counter<u64>,
+    handovers: Counter<u64>,
+    served_handovers: Counter<u64>,
+    handover_duration: Histogram<f64>,
     targets: Gauge<u64>,
     table_age: Gauge<f64>,
     contained_parts: Gauge<u64>,
@@ -55,6 +59,9 @@
             orders: meter.u64_counter("orders").build(),
             store_calls: meter.u64_counter("store_calls").build(),
             crashes: meter.u64_counter("worker_crashes").build(),
+            handovers: meter.u64_counter("handovers").build(),
+            served_handovers: meter.u64_counter("served_handovers").build(),
+            handover_duration: latency_histogram("handover_duration"),
             targets: meter.u64_gauge("targets").build(),
             contained_parts: meter.u64_gauge("contained_parts").build(),
             owned_domains: meter.u64_gauge("owned_domains").build(),
@@ -107,6 +114,25 @@
         self.crashes.add(1, &[]);
     }
 
+    /// Records how a request that was handed over to another entry ended, and after which time.
+    pub(crate) fn record_handover(&self, outcome: Outcome, took: Duration) {
+        let outcome = match outcome {
+            Outcome::Complete => "complete",
+            Outcome::Shed => "not_run",
+            Outcome::Failed => "failed",
+            Outcome::Cancelled => "cancelled",
+        };
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.handover_duration.record(took.as_secs_f64(), &labels);
+        self.handovers.add(1, &labels);
+    }
+
+    /// Counts a request that another entry handed over.
+    pub(crate) fn record_served_handover(&self, outcome: &'static str) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.served_handovers.add(1, &labels);
+    }
+
     /// Records how many workers or groups currently take requests.
     pub(crate) fn record_targets(&self, counts: &[TargetCount]) {
         for target in counts {
--- a/crates/cyclamen-gateway/src/node/targets.rs
+++ b/crates/cyclamen-gateway/src/node/targets.rs
@@ -20,6 +20,8 @@
     Regrouped,
     /// A member did not respond to probes in time.
     Suspected,
+    /// The entry to which the request was handed over is silent.
+    EntrySilent,
 }
 
 impl Loss {
@@ -29,6 +31,7 @@
             Self::Unlisted => "unlisted",
             Self::Regrouped => "regrouped",
             Self::Suspected => "suspected",
+            Self::EntrySilent => "entry_silent",
         }
     }
 }
--- a/crates/cyclamen-gateway/src/run.rs
+++ b/crates/cyclamen-gateway/src/run.rs
@@ -38,8 +38,8 @@
     node: Arc<Node>,
     tasks: Vec<smol::Task<()>>,
     caller_server: ServerHandle,
-    /// The servers of readiness checks and metrics.
-    internal_servers: [ServerHandle; 2],
+    /// The servers of readiness checks, metrics and requests that are handed over.
+    internal_servers: Vec<ServerHandle>,
 }
 
 /// Starts a gateway; it runs until the handle is drained or dropped.
@@ -47,6 +47,7 @@
     let caller_listener = bind(settings.caller_listen)?;
     let ready_listener = bind(settings.ready_listen)?;
     let metrics_listener = bind(settings.metrics_listen)?;
+    let handover_listener = settings.handover_listen.map(bind).transpose()?;
     let options = cyclamen_peer::Options {
         listen: settings.peer_listen,
         secret: settings.peer_secret.reveal().clone(),
@@ -62,13 +63,16 @@
         env!("CARGO_PKG_VERSION")
     );
     warn_of_short_freshness(&node);
+    let handover_server =
+        handover_listener.map(|listener| serve(listener, frontend::Receiver(node.clone())));
+    let servers = [
+        serve(ready_listener, frontend::Readiness(node.clone())),
+        serve(metrics_listener, frontend::Metrics(node.clone())),
+    ];
     Ok(Handle {
         tasks: tasks::start(&node),
         caller_server: serve(caller_listener, frontend::Proxy(node.clone())),
-        internal_servers: [
-            serve(ready_listener, frontend::Readiness(node.clone())),
-            serve(metrics_listener, frontend::Metrics(node.clone())),
-        ],
+        internal_servers: servers.into_iter().chain(handover_server).collect(),
         node,
     })
 }
