fix: a drain waits until the responses are sent

What callers saw: of an answer of 8 MiB that they read with a pause, 3919872 bytes and a closed connection, if the gateway was sent SIGTERM meanwhile.

Cause: a request counts as ended once its response is read from the worker (Request::finish, before the body is handed to the server), but its caller has received nothing then. Handle::drain waited until no request was in progress and gave the connections 50 ms more. The log said requests_cut=0.

Change: drain waits until the server has closed all connections of callers, each after its last response, up to the same drain limit. Idle connections are closed at once as before. A connection with a part of a head, which was cut before, is waited for up to the limit too. event=stopped says all_sent.

crates/cyclamen-entry/src/run.rs has the same order of waits; it is not changed here, since no test shows it.

--- a/crates/cyclamen-gateway/src/run.rs
+++ b/crates/cyclamen-gateway/src/run.rs
@@ -6,6 +6,7 @@
 
 use async_signal::{Signal, Signals};
 use cyclamen_peer::{Allowed, Gossip, Service};
+use cyclamen_types::Time;
 use eyre::WrapErr;
 use futures::StreamExt;
 use smol::Timer;
@@ -18,9 +19,6 @@
 use crate::settings::{Settings, millis};
 use crate::{frontend, tasks};
 
-/// The interval at which requests in progress are polled during shutdown, and the timeout for
-/// closing the listener for callers afterwards.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// The timeout for resigning the lease.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -121,20 +119,29 @@
         })
         .await;
         Timer::after(millis(timing.drain_notice_ms)).await;
-        let closing = self.caller_server.shut_down();
-        while self.node.state().in_progress > 0 && self.node.now() < limit {
-            Timer::after(DRAIN_POLL_INTERVAL).await;
-        }
-        let timeout = async {
-            Timer::after(DRAIN_POLL_INTERVAL).await;
-        };
-        smol::future::or(closing, timeout).await;
+        let all_sent = self.close_connections(limit).await;
         let remaining = self.node.state().in_progress;
         for server in self.internal_servers {
             server.shut_down();
         }
         drop(self.tasks);
-        log::info!("event=stopped requests_cut={remaining}");
+        log::info!("event=stopped requests_cut={remaining} all_sent={all_sent}");
+    }
+
+    /// Accepts no more requests and waits until the callers' connections are closed, each after its
+    /// last response; returns whether all of them were by a point in time.
+    ///
+    /// A request ends before its caller has received the whole response.
+    async fn close_connections(&self, limit: Time) -> bool {
+        let closing = async {
+            self.caller_server.shut_down().await;
+            true
+        };
+        let timeout = async {
+            Timer::after(limit.since(self.node.now())).await;
+            false
+        };
+        smol::future::or(closing, timeout).await
     }
 }
 
