fix: heads of requests of up to 64 KiB are read

What callers saw: a request whose head has 16 kB, which the configuration allows (max_header_bytes 16384), gets a closed connection without a byte.

Cause: the server's library stops at its default of 8 KiB, checked before each read, and drops the connection (HeadError::Fatal); a head of 9 kB still passed, since the check comes late.

Change: the limit of the library is 64 KiB. A head beyond it still ends its connection without an answer; the library has no hook for a 431.

--- a/crates/cyclamen-gateway/src/run.rs
+++ b/crates/cyclamen-gateway/src/run.rs
@@ -10,6 +10,7 @@
 use eyre::WrapErr;
 use futures::StreamExt;
 use smol::Timer;
+use trillium_http::HttpConfig;
 use trillium_server_common::ServerHandle;
 use trillium_smol::async_net;
 
@@ -19,6 +20,10 @@
 use crate::settings::{Settings, millis};
 use crate::{frontend, tasks};
 
+/// The maximum size of the head of a request, in bytes, at which the server closes the connection.
+///
+/// The operators' own limit, which may change while the server runs, is not enforced.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// The timeout for resigning the lease.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -89,6 +94,7 @@
 
 fn serve(listener: async_net::TcpListener, handler: impl trillium::Handler) -> ServerHandle {
     trillium_smol::config()
+        .with_http_config(HttpConfig::default().with_head_max_len(MAX_HEAD_BYTES))
         .without_signals()
         .with_nodelay()
         .with_prebound_server(listener)
