fix: a worker's failure is passed on if the next attempt brings none

What callers saw: 502 no_worker, outcome_unknown or retries_spent on an idempotent request that a worker had answered with a complete 500.

Cause: buffered::run dropped the failed response before the next attempt, and knew only the outcome of that one: no other worker, a closed connection, a refusal or an answer to another request.

Streams have the same gap (Class::Failed in frontend/stream/connect.rs), which is not touched here.

--- a/crates/cyclamen-gateway/src/frontend/buffered.rs
+++ b/crates/cyclamen-gateway/src/frontend/buffered.rs
@@ -69,8 +69,20 @@
     Ok(())
 }
 
-/// Sends the request to workers until one responds or no retry is allowed.
+/// Sends the request to workers until one responds or no retry is allowed; the last response with
+/// which one failed it counts if no later attempt brings another.
 async fn run(request: &mut Request) -> Result<(Response, Dispatch), Refusal> {
+    let mut failed = None;
+    let result = attempts(request, &mut failed).await;
+    result.or_else(|refusal| failed.ok_or(refusal))
+}
+
+/// Sends the request to workers until one responds or no retry is allowed, and keeps the last
+/// response with which one failed it.
+async fn attempts(
+    request: &mut Request,
+    failed: &mut Option<(Response, Dispatch)>,
+) -> Result<(Response, Dispatch), Refusal> {
     loop {
         let dispatch = request.choose()?;
         match attempt(request, &dispatch).await {
@@ -96,6 +108,7 @@
                 if !request.is_repeatable() || !request.try_spend_retry() {
                     return Ok((*response, dispatch));
                 }
+                *failed = Some((*response, dispatch));
             }
             Err(failure @ (Failure::Closed | Failure::Unknown)) => {
                 if matches!(failure, Failure::Closed) {
