--- a/crates/cyclamen-gateway/src/frontend/buffered.rs
+++ b/crates/cyclamen-gateway/src/frontend/buffered.rs
@@ -64,8 +64,20 @@
     Ok(())
 }
 
-/// Sends the request to workers until one responds or no retry is allowed.
+/// Sends the request to workers until one responds or no retry is allowed; the last response with
+/// which one failed it counts if no later attempt brings another.
 async fn run(request: &mut Request) -> Result<(Response, Way), Refusal> {
+    let mut failed = None;
+    let result = attempts(request, &mut failed).await;
+    result.or_else(|refusal| failed.ok_or(refusal))
+}
+
+/// Sends the request to workers until one responds or no retry is allowed, and keeps the last
+/// response with which one failed it.
+async fn attempts(
+    request: &mut Request,
+    failed: &mut Option<(Response, Way)>,
+) -> Result<(Response, Way), Refusal> {
     loop {
         let way = request.choose()?;
         match attempt(&request.call, &way).await {
@@ -89,6 +101,7 @@
                 if !request.call.is_repeatable() || !request.try_spend_retry() {
                     return Ok((*response, way));
                 }
+                *failed = Some((*response, way));
             }
             Err(failure @ (Failure::Closed | Failure::Unknown)) => {
                 if let (Failure::Closed, Way::Worker(dispatch)) = (&failure, &way) {
