--- a/crates/cyclamen-gateway/src/frontend/stream/relay.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay.rs
@@ -113,6 +113,7 @@
                 }
                 Event::Attempt(index, Err(failure)) => self.end_attempt(index, failure)?,
                 Event::Check if self.call().remaining().is_zero() => {
+                    self.log_deadline();
                     return Err(Refusal::deadline_exceeded());
                 }
                 Event::Check => self.check_silence(),
@@ -136,6 +137,21 @@
         or(first, check).await
     }
 
+    /// Logs how long each worker was silent when the deadline passed.
+    fn log_deadline(&self) {
+        let call = self.call();
+        let now = call.node.now();
+        for attempt in &self.attempts {
+            log::info!(
+                "event=attempt_failed id={} {} cause=Deadline after={:?} silent_ms={}",
+                call.id,
+                attempt.way,
+                self.last_event_id,
+                now.since(attempt.last_event_at).as_millis()
+            );
+        }
+    }
+
     /// Sends the request to another worker, which costs a retry unless it is the first one or the
     /// one before was not reached.
     fn start_attempt(&mut self) -> Result<(), Refusal> {
