test: show that a worker that others reach fails between probes (known red)

An owner that doesn't reach a member is told by another entry that it does. Each time that entry's last success is 1 s old, it probes again, and the report that it sends before the response does not name the worker: the owner replaces the former report and counts the worker as failed until the next exchange. The planner is due each 100 ms, so that a group may get a leave order, which resets the answers that it makes.

--- a/crates/cyclamen-replica/tests/replica/detector.rs
+++ b/crates/cyclamen-replica/tests/replica/detector.rs
@@ -213,3 +213,30 @@
     a_worker_that_another_entry_reaches_no_longer_has_failed: 0..=1_000, 5_000 => true;
     a_worker_that_no_other_entry_reaches_has_failed: 0..=0, 1_000 => true;
 }
+
+/// Guards against a worker that counts as failed for a moment, though another entry reaches it, each
+/// time that entry has to probe it again: the response to a probe arrives after the response to the
+/// gossip that caused it.
+#[test]
+fn a_worker_that_another_entry_reaches_never_fails_between_its_probes() {
+    let worker = start("w");
+    let (mut one, mut other) = (Detector::default(), Detector::default());
+    one.suspect(at(0), &worker);
+    let mut failed_at = Vec::new();
+    for now in (10..=5_000).step_by(50) {
+        if now % 250 == 10 {
+            one.suspect(at(now), &worker);
+        }
+        let is_probed = !report(at(now), &one, "one", &mut other).is_empty();
+        report(at(now), &other, "other", &mut one);
+        if is_probed {
+            other.restore(at(now + 20), &worker);
+        }
+        if one.is_failed(at(now + 30), &worker) {
+            failed_at.push(now);
+        }
+        one.expire(at(now + 30));
+        other.expire(at(now + 30));
+    }
+    assert_eq!(failed_at, Vec::<u64>::new());
+}
