fix: a worker that others reach does not fail between their probes

An owner that doesn't reach a member took its group apart once a second, though another entry reached the member.

Cause: a report replaced the former one as a whole. The entry that reaches the worker probes it again once its last success is 1 s old; until the response is there, it doesn't name the worker, and the owner forgot at once what it had been told 60 to 250 ms before.

Now what another entry reported as reached stays for reached_ttl (500 ms), unless that entry itself suspects the worker. A dead worker is kept no longer than before if its entry falls silent: 1 s since the last success and 500 ms.

--- a/crates/cyclamen-replica/src/detector.rs
+++ b/crates/cyclamen-replica/src/detector.rs
@@ -37,7 +37,8 @@
     /// How long a successful probe overrides suspicions reported by other entries, and is
     /// reported to them.
     pub alive_ttl: Duration,
-    /// How long another entry's report that it reaches a worker is valid.
+    /// How long another entry's report that it reaches a worker is valid; longer than that entry
+    /// takes to probe the worker again and to report the response.
     pub reached_ttl: Duration,
     /// How long a worker has to be suspected before it counts as failed if no
     /// other entry suspects it.
@@ -86,8 +87,9 @@
     /// When it arrived.
     at: Time,
     suspected: BTreeSet<Start>,
-    /// Workers that responded to the other entry although some entry suspects them.
-    reached: BTreeSet<Start>,
+    /// Workers that responded to the other entry although some entry suspects them, and when it
+    /// last reported so. One that it suspects is not among them.
+    reached: BTreeMap<Start, Time>,
 }
 
 /// A failure detector for workers.
@@ -148,15 +150,35 @@
         for start in &to_probe {
             self.probing.insert(start.clone(), now);
         }
+        let reached = self.still_reached(now, entry, &suspected, reached);
         let report = Report {
             at: now,
             suspected,
-            reached: reached.into_iter().collect(),
+            reached,
         };
         self.reports.insert(entry.clone(), report);
         to_probe
     }
 
+    /// Returns the workers that another entry reaches, and when it last reported so.
+    ///
+    /// One that a report no longer names may only be about to be probed again: it stays until its
+    /// last report expires, unless the other entry now suspects it.
+    fn still_reached(
+        &mut self,
+        now: Time,
+        entry: &entry::Name,
+        suspected: &BTreeSet<Start>,
+        reached: impl IntoIterator<Item = Start>,
+    ) -> BTreeMap<Start, Time> {
+        let former = self.reports.remove(entry);
+        let mut all = former.map_or_else(BTreeMap::new, |former| former.reached);
+        let ttl = self.timing.reached_ttl;
+        all.retain(|start, at| now.since(*at) < ttl && !suspected.contains(start));
+        all.extend(reached.into_iter().map(|start| (start, now)));
+        all
+    }
+
     /// Returns whether a worker is suspected and should get no new work.
     pub fn is_suspected(&self, start: &Start) -> bool {
         self.local.contains_key(start) || self.probing.contains_key(start)
@@ -169,9 +191,9 @@
 
     /// Returns whether a worker responded lately to another entry although some entry suspects it.
     pub fn is_reached_by_others(&self, now: Time, start: &Start) -> bool {
-        let is_fresh = |report: &Report| now.since(report.at) < self.timing.reached_ttl;
-        let mut reports = self.reports.values();
-        reports.any(|report| is_fresh(report) && report.reached.contains(start))
+        let ttl = self.timing.reached_ttl;
+        let mut reported_at = self.reports.values().filter_map(|r| r.reached.get(start));
+        reported_at.any(|at| now.since(*at) < ttl)
     }
 
     /// Returns the workers to report to other entries that suspect them: those that responded
