test: show that a suspicion forgets the requests that a worker runs (known red)

A worker that is suspected is no target; refresh drops it with its count of requests in progress, and starts at 0 once it is a target again. Since its streams now go on through the silence, the entry sends it as many requests again as it has room for, tells other entries the same, and each former stream that ends is subtracted from the new ones.

Evidence: the new test sees 0 requests in progress instead of 1. A request that ends in between is counted right, which a second test pins.

--- a/crates/cyclamen-dispatch/tests/dispatch.rs
+++ b/crates/cyclamen-dispatch/tests/dispatch.rs
@@ -253,6 +253,37 @@
     assert!(dispatcher.loads().is_empty());
 }
 
+/// Guards against a worker that gets more requests than it has room for after it was suspected,
+/// since those that it runs are forgotten.
+#[test]
+fn a_worker_that_accepts_requests_again_still_has_its_former_ones_in_progress() {
+    let mut dispatcher = dispatcher([head("h1", "a")]);
+    let sent = choose(&mut dispatcher, &Request::new()).unwrap();
+    dispatcher.refresh([]);
+    assert_eq!(
+        choose(&mut dispatcher, &Request::new()),
+        Err(Reason::NoWorker)
+    );
+    dispatcher.refresh([head("h1", "a")]);
+    let next = choose(&mut dispatcher, &Request::new()).unwrap();
+    assert_eq!((sent.running, next.running), (0, 1));
+    dispatcher.record_outcome(at(0), &sent, Outcome::Complete, true);
+    assert_eq!(dispatcher.loads()[0].running, 1);
+    dispatcher.record_outcome(at(0), &next, Outcome::Complete, true);
+    assert!(dispatcher.loads().is_empty());
+}
+
+/// A request that ends while its worker accepts none is no longer in progress on it.
+#[test]
+fn a_request_that_ends_while_its_worker_is_suspected_is_not_in_progress() {
+    let mut dispatcher = dispatcher([head("h1", "a")]);
+    let sent = choose(&mut dispatcher, &Request::new()).unwrap();
+    dispatcher.refresh([]);
+    dispatcher.record_outcome(at(0), &sent, Outcome::Failed, true);
+    dispatcher.refresh([head("h1", "a")]);
+    assert!(dispatcher.loads().is_empty());
+}
+
 #[test]
 fn a_cold_worker_gets_this_entrys_quota() {
     let cold = Target {
