fix: an unlisted member is given up only once it counts as failed

Callers saw answers reset by their own head, since the owner of the domain took the group apart while one of its members finished its work unlisted and was silent towards the owner alone.

Cause: the planner took an unlisted worker for lost as soon as it was suspected, without the time or the second entry that a listed one needs, and without asking whether another entry reaches it.

Now an unlisted worker is judged like a listed one. The price: if only one entry suspects it, a group with a dead unlisted member is taken apart up to 600 ms later; a second suspicion still decides at once.

--- a/crates/cyclamen-gateway/src/tasks/plan.rs
+++ b/crates/cyclamen-gateway/src/tasks/plan.rs
@@ -88,14 +88,11 @@
     of_domain
         .map(|record| {
             let start = Start::from(record.instance.as_ref());
-            let suspected = state.detector.is_suspected(&start);
-            // A suspicion is confirmed by the removal of the worker from the list.
-            let lost = record.has_departed() && suspected;
             Worker {
                 instance: record.instance.clone(),
-                alive: !lost && !state.detector.is_failed(now, &start),
+                alive: !state.detector.is_failed(now, &start),
                 listed: record.is_listed(),
-                suspected,
+                suspected: state.detector.is_suspected(&start),
                 zone_active: !state.zones_out.contains(&record.instance.zone),
             }
         })
--- a/crates/cyclamen-replica/src/planner.rs
+++ b/crates/cyclamen-replica/src/planner.rs
@@ -69,8 +69,7 @@
 pub struct Worker {
     /// The worker's instance, as last listed.
     pub instance: Arc<Instance>,
-    /// Whether the worker counts as alive; a suspected worker does until it counts as failed or
-    /// its removal from the list takes effect.
+    /// Whether the worker counts as alive; a suspected worker does until it counts as failed.
     pub alive: bool,
     /// Whether the worker is listed now; false if it is only retained after its removal from the
     /// list.
