fix: count each stream that goes on at another worker as resumed

resumed_streams_total counted a takeover from a silent worker only, also before the first event.

Cause: it was counted where the other attempt is cancelled. An attempt whose worker failed is gone by then.

It is counted with the first part that an attempt delivers after the caller has received the head of another one's response.

--- a/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
@@ -87,7 +87,8 @@
     pub(super) last_event_at: Time,
     /// When the first bytes of the body were received.
     started_at: Option<Time>,
-    /// Whether the caller has received the head of another response.
+    /// Whether the caller has received the head of another response, which this one has not gone on
+    /// with yet.
     continues: bool,
     is_recorded: bool,
 }
@@ -223,6 +224,12 @@
         }
     }
 
+    /// Returns whether the attempt now goes on with the response of another one; only the first call
+    /// does.
+    pub(super) fn take_resumption(&mut self) -> bool {
+        std::mem::take(&mut self.continues)
+    }
+
     pub(super) fn has_started(&self) -> bool {
         self.started_at.is_some()
     }
--- a/crates/cyclamen-gateway/src/frontend/stream/relay.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay.rs
@@ -168,7 +168,11 @@
             }
             self.request.may_have_run = true;
         }
-        if is_replacement {
+        let goes_on = self
+            .attempts
+            .first_mut()
+            .is_some_and(Attempt::take_resumption);
+        if goes_on {
             self.call().node.metrics.record_resumed_stream();
         }
     }
