fix: a stream whose replacement is silent too is sent on, as far as its route allows

A stream whose worker and replacement are both cut off was cut at its deadline, though its route allows a third attempt.

Cause: at most two workers ran a request at a time, and silent ones keep it.

A replacement is now sought while each worker that runs the request may have failed. The route's attempts and the retry budget bound how many there are; most routes allow two, for which nothing changes. If a middle one makes the next event, only those before it count as failed.

--- a/crates/cyclamen-gateway/src/frontend/stream/relay.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay.rs
@@ -24,8 +24,6 @@
 const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
 /// The retry delay sent to callers when no worker accepted their stream.
 const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// The number of workers that run a request at the same time: a silent one and its replacement.
-const MAX_CONCURRENT_ATTEMPTS: usize = 2;
 
 /// The status of a response that a worker has not begun.
 const BAD_GATEWAY: u16 = 502;
@@ -40,8 +38,8 @@
 /// A streaming request, forwarded to one worker after another until the response is complete.
 ///
 /// A worker that may have failed but has not closed its connection keeps the request while a
-/// replacement is sought: the first of the two that makes the next event goes on, and the other
-/// one is cancelled.
+/// replacement is sought: the first of them that makes the next event goes on, and the others are
+/// cancelled. No more workers run it at a time than its route allows attempts.
 pub(super) struct Relay {
     pub(super) request: Request,
     /// The workers that run the request, the first one first.
@@ -149,21 +147,23 @@
         Ok(())
     }
 
-    /// Cancels all attempts but one, which made the next part of the response.
+    /// Cancels all attempts but one, which made the next part of the response; those that it
+    /// replaces, which are before it, count as failed.
     fn continue_with(&mut self, index: usize) {
-        let attempt = self.attempts.swap_remove(index);
-        let is_replacement = index > 0;
-        for mut other in std::mem::replace(&mut self.attempts, vec![attempt]) {
+        let attempt = self.attempts.remove(index);
+        let others = std::mem::replace(&mut self.attempts, vec![attempt]);
+        for (position, mut other) in others.into_iter().enumerate() {
+            let is_replaced = position < index;
             let call = self.call();
             log::info!(
-                "event=attempt_cancelled id={} instance={} replaced={is_replacement} after={:?} \
+                "event=attempt_cancelled id={} instance={} replaced={is_replaced} after={:?} \
                  silent_ms={}",
                 call.id,
                 other.dispatch.target.instance,
                 self.last_event_id,
                 call.node.now().since(other.last_event_at).as_millis()
             );
-            if is_replacement {
+            if is_replaced {
                 other.record_outcome(Outcome::Failed);
             }
             self.request.may_have_run = true;
@@ -271,13 +271,13 @@
         }
     }
 
-    /// Probes the groups of silent workers, and seeks a replacement of the first one if its group
-    /// may have lost a member.
+    /// Probes the groups of silent workers, and seeks a replacement if each group that runs the
+    /// request may have lost a member.
     fn check_silence(&mut self) {
         let call = self.call().clone();
         let now = call.node.now();
-        let mut lost = None;
-        for (index, attempt) in self.attempts.iter().enumerate() {
+        let mut losses = Vec::new();
+        for attempt in &self.attempts {
             let silent = now.since(attempt.last_event_at);
             if silent < millis(call.node.settings.timing.stall_ms) {
                 continue;
@@ -285,22 +285,23 @@
             let target = &attempt.dispatch.target;
             let loss = call.node.state().group_loss(target);
             match loss {
-                Some(loss) if call.is_resumable() => lost = lost.or((index == 0).then_some(loss)),
+                Some(loss) if call.is_resumable() => losses.push(loss),
                 _ if attempt.is_probe_due(silent) => tasks::probe_group(&call.node, target),
                 _ => {}
             }
         }
-        if let Some(loss) = lost {
-            self.seek_replacement(now, loss);
+        let is_lost = losses.len() == self.attempts.len();
+        if let Some(loss) = losses.first().filter(|_| is_lost) {
+            self.seek_replacement(now, *loss);
         }
     }
 
-    /// Sends the request to another worker besides the silent one, if a retry and a worker are to
+    /// Sends the request to another worker besides the silent ones, if a retry and a worker are to
     /// be had.
     fn seek_replacement(&mut self, now: Time, loss: Loss) {
         let sought_at = self.replacement_sought_at;
         let is_recent = sought_at.is_some_and(|at| now.since(at) < REPLACEMENT_INTERVAL);
-        if is_recent || self.attempts.len() >= MAX_CONCURRENT_ATTEMPTS {
+        if is_recent {
             return;
         }
         self.replacement_sought_at = Some(now);
