fix: a silent stream spends a retry only if a worker takes it

Silent streams that were granted a retry while no worker was free kept the grant, and all of them were sent in one window once one was.

Cause: a retry was spent before a worker was chosen, and kept if there was none.

A retry is now put back if no worker is chosen, and counted in retries_total only if one is. One that is free, since a worker could not be reached, is kept as before.

--- a/crates/cyclamen-dispatch/src/retry_budget.rs
+++ b/crates/cyclamen-dispatch/src/retry_budget.rs
@@ -48,6 +48,11 @@
         enough
     }
 
+    /// Puts back a retry that was spent a moment ago and not used.
+    pub fn put_back(&mut self) {
+        self.retries.pop_back();
+    }
+
     /// Returns the number of retries left as of the last update.
     pub fn remaining(&self, entries: usize) -> f64 {
         (self.limit(entries) - self.retries.len() as f64).max(0.0)
--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -153,6 +153,15 @@
     /// Returns whether the request may be sent to another worker; if so, spends a retry of the
     /// service's budget.
     pub(crate) fn try_spend_retry(&mut self) -> bool {
+        let granted = self.try_reserve_retry();
+        if granted {
+            self.call.node.metrics.record_retry();
+        }
+        granted
+    }
+
+    /// Does the same, but does not count the retry, which may be returned.
+    pub(crate) fn try_reserve_retry(&mut self) -> bool {
         let call = &self.call;
         let attempts = (self.tried.len() as u32).saturating_sub(self.failed_connects);
         if attempts >= call.route.attempts || call.remaining().is_zero() {
@@ -165,9 +174,7 @@
             .retry_budget(call.service_name())
             .try_spend(now, entries);
         drop(state);
-        if granted {
-            call.node.metrics.record_retry();
-        } else {
+        if !granted {
             log::info!(
                 "event=retry_denied id={} service={} entries={entries}",
                 call.id,
@@ -177,6 +184,13 @@
         granted
     }
 
+    /// Returns a reserved retry with which the request was not sent.
+    pub(crate) fn return_retry(&mut self) {
+        let call = &self.call;
+        let mut state = call.node.state();
+        state.retry_budget(call.service_name()).put_back();
+    }
+
     /// Logs and counts the end of the request; only the first call has an effect.
     pub(crate) fn finish(
         &mut self,
--- a/crates/cyclamen-gateway/src/frontend/stream/relay.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cyclamen_dispatch::Outcome;
+use cyclamen_dispatch::{Dispatch, Outcome};
 use cyclamen_types::Time;
 use futures::future::select_all;
 use smol::Timer;
@@ -136,17 +136,30 @@
     /// Sends the request to another worker, which costs a retry unless it is the first one or the
     /// one before was not reached.
     fn start_attempt(&mut self) -> Result<(), Refusal> {
-        if !self.may_send && !self.request.try_spend_retry() {
-            return Err(Refusal::retries_spent());
-        }
-        self.may_send = true;
-        let dispatch = self.request.choose()?;
+        let dispatch = if self.may_send {
+            self.request.choose()?
+        } else {
+            self.choose_for_retry()?
+        };
         self.may_send = false;
         let attempt = Attempt::start(self.call(), dispatch, self.last_event_id, self.has_head);
         self.attempts.push(attempt);
         Ok(())
     }
 
+    /// Chooses a worker for a retry, which is spent only if there is one.
+    fn choose_for_retry(&mut self) -> Result<Dispatch, Refusal> {
+        if !self.request.try_reserve_retry() {
+            return Err(Refusal::retries_spent());
+        }
+        let chosen = self.request.choose();
+        match &chosen {
+            Ok(_) => self.call().node.metrics.record_retry(),
+            Err(_) => self.request.return_retry(),
+        }
+        chosen
+    }
+
     /// Cancels all attempts but one, which made the next part of the response; those that it
     /// replaces, which are before it, count as failed.
     fn continue_with(&mut self, index: usize) {
