--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -194,6 +194,15 @@
     /// Returns whether the request may be sent to another worker; if so, spends a retry of the
     /// service's budget.
     pub(crate) fn try_spend_retry(&mut self) -> bool {
+        let granted = self.try_reserve_retry();
+        if granted {
+            self.call.node.metrics.record_retry();
+        }
+        granted
+    }
+
+    /// Does the same, but does not count the retry, which may be returned.
+    pub(crate) fn try_reserve_retry(&mut self) -> bool {
         let call = &self.call;
         if self.sent >= call.route.attempts || call.remaining().is_zero() {
             return false;
@@ -205,9 +214,7 @@
             .retry_budget(call.service_name())
             .try_spend(now, entries);
         drop(state);
-        if granted {
-            call.node.metrics.record_retry();
-        } else {
+        if !granted {
             log::info!(
                 "event=retry_denied id={} service={} entries={entries}",
                 call.id,
@@ -217,6 +224,13 @@
         granted
     }
 
+    /// Returns a reserved retry with which the request was not sent.
+    pub(crate) fn return_retry(&mut self) {
+        let call = &self.call;
+        let mut state = call.node.state();
+        state.retry_budget(call.service_name()).put_back();
+    }
+
     /// Logs and counts the end of the request; only the first call has an effect.
     pub(crate) fn finish(&mut self, outcome: &'static str, status: u16, way: Option<&Way>) {
         if std::mem::replace(&mut self.finished, true) {
