--- a/crates/cyclamen-domain/tests/domain/main.rs
+++ b/crates/cyclamen-domain/tests/domain/main.rs
@@ -6,3 +6,4 @@
 mod groups;
 mod queue;
 mod simulation;
+mod takeover;
