fix: count a member's silence only since its owner began to probe it

Callers: after a change of owner, streams of a group break or go on elsewhere after another load of the group, although all of its workers are sound and one was only slow to answer a probe.

Cause: a new owner has no report of a member that has not answered yet, and took it for silent since the start of its own process, or since it last owned the domain. Once that is longer than a load (60 s), the member is replaced at the first plan that has a spare; the group gets a new fencing token and ends what it runs. A report kept from an earlier ownership had the same effect on a member that had restarted and rejoined meanwhile.

A new owner now forgets earlier reports and counts silence from when it took the domain, so that a member gets the time of a load to answer, as under the former owner. A member that is neither listed nor known counts as gone after the silence timeout instead of at once. A worker that died around a change of owner is replaced later by the time that the former owner had counted.

--- a/crates/cyclamen-domain/src/domain.rs
+++ b/crates/cyclamen-domain/src/domain.rs
@@ -88,6 +88,9 @@
             self.loads.clear();
             self.serving.clear();
         }
+        if gained {
+            self.monitor.start(now);
+        }
         self.mine = mine;
         self.row = row;
         let start_within = self.options.start_within;
--- a/crates/cyclamen-domain/src/monitor.rs
+++ b/crates/cyclamen-domain/src/monitor.rs
@@ -25,6 +25,8 @@
 /// Latest listings and reports of the domain's instances.
 #[derive(Debug, Default)]
 pub(crate) struct Monitor {
+    /// Since when this owner has owned the domain and probed its workers.
+    observed_from: Time,
     listings: BTreeMap<instance::Id, Listing>,
     observations: BTreeMap<instance::Id, Observation>,
     /// Reports to probes sent before these times are invalid.
@@ -44,7 +46,7 @@
 pub(crate) enum Presence {
     /// Answers probes, with the incarnation that the group was formed with.
     Present,
-    /// Listed, but has answered no probe sent after this time.
+    /// Has answered no probe sent after this time, or since this owner began to probe.
     Silent(Time),
     /// Reported another incarnation.
     Restarted,
@@ -53,6 +55,15 @@
 }
 
 impl Monitor {
+    /// Forgets all reports, as another owner may have changed the groups since they arrived.
+    ///
+    /// A member counts as silent only for the time since then, not for the time before.
+    pub(crate) fn start(&mut self, now: Time) {
+        self.observed_from = now;
+        self.observations.clear();
+        self.invalid_before.clear();
+    }
+
     pub(crate) fn set_listings(&mut self, listings: impl IntoIterator<Item = Listing>) {
         let pairs = listings.into_iter().map(|l| (l.instance.clone(), l));
         self.listings = pairs.collect();
@@ -73,7 +84,8 @@
         known.len()
     }
 
-    /// Records a report, unless one to a later probe was recorded before.
+    /// Records a report, unless one to a later probe was recorded before or its probe was sent
+    /// under an earlier ownership.
     pub(crate) fn record_report(
         &mut self,
         probed_at: Time,
@@ -84,7 +96,7 @@
             .observations
             .get(instance)
             .is_some_and(|o| o.probed_at > probed_at);
-        if !is_outdated {
+        if !is_outdated && probed_at >= self.observed_from {
             self.observations
                 .insert(instance.clone(), Observation { probed_at, report });
         }
@@ -125,24 +137,17 @@
     }
 
     pub(crate) fn presence(&self, now: Time, member: &Member, options: &Options) -> Presence {
-        let listed = self.listings.contains_key(&member.instance);
-        let Some(last) = self.observations.get(&member.instance) else {
-            return if listed {
-                Presence::Silent(Time::default())
-            } else {
-                Presence::Gone
-            };
-        };
-        if last.report.incarnation != member.incarnation {
+        let last = self.observations.get(&member.instance);
+        if last.is_some_and(|o| o.report.incarnation != member.incarnation) {
             return Presence::Restarted;
         }
-        if now.since(last.probed_at) <= options.silence_timeout {
-            return Presence::Present;
-        }
-        if listed {
-            Presence::Silent(last.probed_at)
-        } else {
-            Presence::Gone
+        let since = last.map_or(self.observed_from, |o| o.probed_at);
+        let is_recent = now.since(since) <= options.silence_timeout;
+        let is_listed = self.listings.contains_key(&member.instance);
+        match last {
+            Some(_) if is_recent => Presence::Present,
+            _ if is_recent || is_listed => Presence::Silent(since),
+            _ => Presence::Gone,
         }
     }
 
