--- a/crates/cyclamen-domain/tests/domain/takeover.rs
+++ b/crates/cyclamen-domain/tests/domain/takeover.rs
@@ -25,6 +25,18 @@
     sim.update_worker(worker, |state| state.responsive = false);
 }
 
+/// Starts a request on every group.
+fn run_requests(sim: &mut Simulation) {
+    while sim.admit(0).is_some() {}
+    for ticket in 0..sim.tickets.len() {
+        sim.start_request(ticket);
+    }
+}
+
+fn rename_pool(sim: &mut Simulation) {
+    sim.pools.pools[0].name = "renamed".parse().unwrap();
+}
+
 /// Runs a group under a former owner, changes the owner and checks after this many rounds whether
 /// the group is as it was.
 macro_rules! takeovers {
@@ -60,4 +72,25 @@
     }, owner 0, checked after 4 => true;
     a_member_that_stays_silent_for_longer_than_a_load_is_replaced: |sim| silence(sim, 1), owner 1,
         checked after 220 => false;
+    a_leaving_member_is_kept_until_the_head_reports_its_load: |sim| {
+        run_requests(sim);
+        let leaving = member(sim, 1);
+        sim.workers[leaving].leaving = true;
+        silence(sim, 0);
+    }, owner 1, checked after 4 => true;
+    a_leaving_member_is_kept_while_requests_run: |sim| {
+        run_requests(sim);
+        let leaving = member(sim, 1);
+        sim.workers[leaving].leaving = true;
+    }, owner 1, checked after 20 => true;
+    a_leaving_member_of_an_idle_group_is_replaced: |sim| {
+        let leaving = member(sim, 1);
+        sim.workers[leaving].leaving = true;
+    }, owner 1, checked after 20 => false;
+    a_group_of_a_renamed_pool_is_kept_until_its_head_reports_its_load: |sim| {
+        run_requests(sim);
+        rename_pool(sim);
+        silence(sim, 0);
+    }, owner 1, checked after 4 => true;
+    an_idle_group_of_a_renamed_pool_is_dropped: rename_pool, owner 1, checked after 20 => false;
 }
