fix: take no group apart whose head has not told its new owner what it runs

Callers: an instance is leaving, a zone is taken out or an edit renames a pool, and the domain gets another owner meanwhile (a deployment does all of it): streams that such a group runs break, although owners wait for them to end.

Cause: a group counts as idle if no request in progress is known. A new owner has no tickets, and knows of the requests of former owners only by the report of the group's head; until then, so as long as the head is silent, every group counted as idle.

A group is now idle only if its load is known, by the same rule by which it may get requests again: the head has answered a probe sent after the last ticket of the former owner expired. A group of a removed service stays in the row of a new owner until its instances are unlisted, since their workers are no longer probed; its workers kept their membership before as well.

--- a/crates/cyclamen-domain/src/domain.rs
+++ b/crates/cyclamen-domain/src/domain.rs
@@ -144,6 +144,11 @@
         self.loads.get(group).map_or(0, Load::in_progress)
     }
 
+    /// Returns whether a group is known to have no request in progress.
+    fn is_idle(&self, group: &group::Id) -> bool {
+        self.loads.get(group).is_some_and(Load::is_idle)
+    }
+
     /// Returns the maximum number of requests in progress on a group at this time.
     pub fn limit(&self, now: Time, group: &Group, pools: &Pools) -> u32 {
         let limits = limits_of(pools, &group.pool);
@@ -175,7 +180,7 @@
             pools,
             options: &self.options,
         };
-        if let Some(row) = view.next_row(|g| self.in_progress(&g.id) == 0) {
+        if let Some(row) = view.next_row(|g| self.is_idle(&g.id)) {
             return vec![Step::Write(row)];
         }
         let orders = view.orders();
--- a/crates/cyclamen-domain/src/load.rs
+++ b/crates/cyclamen-domain/src/load.rs
@@ -104,6 +104,13 @@
         )
     }
 
+    /// Returns whether the group is known to have no request in progress.
+    ///
+    /// Requests of former owners are known only once the head has reported them.
+    pub(crate) fn is_idle(&self) -> bool {
+        !matches!(self.stage, Stage::Unknown(_)) && self.in_progress() == 0
+    }
+
     /// Returns the maximum number of requests in progress at this time.
     pub(crate) fn limit(&self, now: Time, limits: &Limits) -> u32 {
         match self.stage {
