test: show that an owner without the list drops all groups (known red)

An entry that started while the platform's list did not answer owns a domain: on this code its first plans write a row without groups. In virtual time.

--- a/crates/cyclamen-domain/tests/domain/takeover.rs
+++ b/crates/cyclamen-domain/tests/domain/takeover.rs
@@ -1,7 +1,7 @@
 //! Groups that run requests when their domain gets another owner, which knows nothing of them yet.
 
 use crate::simulation::{Simulation, index};
-use cyclamen_domain::Options;
+use cyclamen_domain::{Domain, Options};
 
 /// Longer than a worker takes to load.
 const LONG_MILLIS: u64 = 65_000;
@@ -94,3 +94,20 @@
     }, owner 1, checked after 4 => true;
     an_idle_group_of_a_renamed_pool_is_dropped: rename_pool, owner 1, checked after 20 => false;
 }
+
+/// A new entry may own a domain before it has read the platform's list.
+#[test]
+fn groups_are_kept_by_an_owner_that_has_not_read_the_list() {
+    let mut sim = long_running();
+    let before = sim.row.groups.clone();
+    sim.entries[1].domain = Domain::new("d".parse().unwrap(), sim.options);
+    sim.set_owner(1);
+    for _ in 0..20 {
+        sim.advance(300);
+        sim.plan(1);
+    }
+    assert_eq!(sim.row.groups, before);
+    sim.run_rounds(1, 20);
+    assert_eq!(sim.row.groups, before);
+    assert_eq!(sim.granting_groups(1), before.len());
+}
