fix: count no instance as unlisted before the platform's list was read

Callers: an entry starts while the platform's list does not answer but its table does, and takes over a domain without an owner: all answers that the domain runs end.

Cause: without a list every member counted as unlisted, and without a list no worker is probed, so that the new owner took all members for gone and dropped all groups from the row; once the list was read it would order their workers to leave (traced in the code, not run with processes).

The monitor now tells a list that was not read from one that lacks an instance; members are only silent until it was read, and nothing replaces them, as only listed instances are spares.

--- a/crates/cyclamen-domain/src/monitor.rs
+++ b/crates/cyclamen-domain/src/monitor.rs
@@ -27,7 +27,8 @@
 pub(crate) struct Monitor {
     /// Since when this owner has owned the domain and probed its workers.
     observed_from: Time,
-    listings: BTreeMap<instance::Id, Listing>,
+    /// The platform's list, or `None` until it was read.
+    listings: Option<BTreeMap<instance::Id, Listing>>,
     observations: BTreeMap<instance::Id, Observation>,
     /// Reports to probes sent before these times are invalid.
     invalid_before: BTreeMap<instance::Id, Time>,
@@ -66,12 +67,14 @@
 
     pub(crate) fn set_listings(&mut self, listings: impl IntoIterator<Item = Listing>) {
         let pairs = listings.into_iter().map(|l| (l.instance.clone(), l));
-        self.listings = pairs.collect();
+        self.listings = Some(pairs.collect());
     }
 
     /// Forgets the instances that are neither listed nor members of a group.
     pub(crate) fn forget_unlisted(&mut self, members: &BTreeSet<&instance::Id>) {
-        let listings = &self.listings;
+        let Some(listings) = &self.listings else {
+            return;
+        };
         let is_known = |id: &instance::Id| listings.contains_key(id) || members.contains(id);
         self.observations.retain(|id, _| is_known(id));
         self.invalid_before.retain(|id, _| is_known(id));
@@ -80,7 +83,8 @@
     /// Returns the number of instances of which any state is held.
     pub(crate) fn known_instances(&self) -> usize {
         let unlisted = self.observations.keys().chain(self.invalid_before.keys());
-        let known: BTreeSet<_> = unlisted.chain(self.listings.keys()).collect();
+        let listed = self.listings().map(|listing| &listing.instance);
+        let known: BTreeSet<_> = unlisted.chain(listed).collect();
         known.len()
     }
 
@@ -114,11 +118,11 @@
     }
 
     pub(crate) fn listing(&self, instance: &instance::Id) -> Option<&Listing> {
-        self.listings.get(instance)
+        self.listings.as_ref()?.get(instance)
     }
 
     pub(crate) fn listings(&self) -> impl Iterator<Item = &Listing> {
-        self.listings.values()
+        self.listings.iter().flat_map(BTreeMap::values)
     }
 
     /// Returns the last report of an instance if it is valid and within the silence timeout.
@@ -143,11 +147,12 @@
         }
         let since = last.map_or(self.observed_from, |o| o.probed_at);
         let is_recent = now.since(since) <= options.silence_timeout;
-        let is_listed = self.listings.contains_key(&member.instance);
+        let listings = self.listings.as_ref();
+        let is_unlisted = listings.is_some_and(|l| !l.contains_key(&member.instance));
         match last {
             Some(_) if is_recent => Presence::Present,
-            _ if is_recent || is_listed => Presence::Silent(since),
-            _ => Presence::Gone,
+            _ if is_unlisted && !is_recent => Presence::Gone,
+            _ => Presence::Silent(since),
         }
     }
 
@@ -193,8 +198,7 @@
 
     /// Returns whether a member is unlisted, is leaving or is in a zone that is out.
     pub(crate) fn is_draining(&self, member: &Member, pools: &Pools) -> bool {
-        self.listings
-            .get(&member.instance)
+        self.listing(&member.instance)
             .is_none_or(|l| l.status == Status::Leaving || pools.zones_out.contains(&l.zone))
     }
 }
