--- a/dev/stand-in/src/engine/api.rs
+++ b/dev/stand-in/src/engine/api.rs
@@ -42,7 +42,7 @@
         if (conn.method(), conn.path()) == (Method::Get, "/admin/violations") {
             return respond_json(conn, &self.0.violations());
         }
-        while !self.0.is_responsive() {
+        while !self.0.is_responsive() || self.0.is_silent() {
             Timer::after(self.0.token_interval()).await;
         }
         match (conn.method(), conn.path()) {
@@ -150,6 +150,9 @@
         if harmful && index >= CRASH_AFTER_TOKENS {
             request.worker().crash();
         }
+        while request.worker().is_silent() {
+            Timer::after(request.worker().token_interval()).await;
+        }
         if !request.is_group_complete() {
             aborted.store(true, Ordering::Release);
             return;
--- a/dev/stand-in/src/engine/worker.rs
+++ b/dev/stand-in/src/engine/worker.rs
@@ -18,6 +18,9 @@
 pub struct Faults {
     /// The worker does not respond until this fault is cleared.
     pub paused: bool,
+    /// Nothing that the worker sends leaves it until this fault is cleared; its requests and its
+    /// group are sound.
+    pub silent: bool,
     /// The worker has terminated and is no longer registered with the platform.
     pub dead: bool,
     /// The platform lists the worker as leaving.
@@ -140,6 +143,11 @@
         !faults.dead && !faults.paused
     }
 
+    /// Returns whether nothing that the worker sends leaves it at present.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.state().faults.silent
+    }
+
     pub(crate) fn report(&self) -> Report {
         let mut state = self.state();
         let now = Instant::now();
--- a/dev/stand-in/tests/processes.rs
+++ b/dev/stand-in/tests/processes.rs
@@ -13,6 +13,9 @@
 use serde_json::{Value, json};
 use site::{Site, complete, expected};
 
+/// The number of streams that run while a failure is injected.
+const STREAMS: usize = 12;
+
 /// How far streams are when a failure is injected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -30,9 +33,20 @@
     stage: Stage,
     inject_failure: impl FnOnce(&mut Site),
 ) -> Vec<(String, Result<String, Value>)> {
-    const STREAMS: usize = 12;
-    let begun: Vec<Arc<AtomicBool>> = (0..STREAMS).map(|_| Arc::default()).collect();
-    let completions: Vec<_> = (0..STREAMS)
+    run_streams(site, entries, STREAMS, tokens, stage, inject_failure)
+}
+
+/// Streams this many completions concurrently and injects a failure while they run.
+fn run_streams(
+    site: &mut Site,
+    entries: &[usize],
+    streams: usize,
+    tokens: u64,
+    stage: Stage,
+    inject_failure: impl FnOnce(&mut Site),
+) -> Vec<(String, Result<String, Value>)> {
+    let begun: Vec<Arc<AtomicBool>> = (0..streams).map(|_| Arc::default()).collect();
+    let completions: Vec<_> = (0..streams)
         .map(|i| {
             let content = format!("stream {i}");
             let address = site.entries[entries[i % entries.len()]].caller_address;
@@ -44,7 +58,7 @@
     match stage {
         Stage::Accepted => site.wait_until("the streams are accepted", || {
             let in_progress = |e: &usize| site.status(*e)["requests_in_progress"].as_u64();
-            entries.iter().filter_map(in_progress).sum::<u64>() >= STREAMS as u64
+            entries.iter().filter_map(in_progress).sum::<u64>() >= streams as u64
         }),
         Stage::Begun => site.wait_until("the streams have begun", || {
             begun.iter().all(|begun| begun.load(Ordering::Relaxed))
@@ -134,6 +148,39 @@
     assert_complete(results, 200);
 }
 
+/// Streams completions while the workers of the first zone are sound, but silent for a while.
+macro_rules! outlived_silences {
+    ($($name:ident: $site:literal, streams $streams:expr, other zone $other:expr, silent $silent:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            const TOKENS: u64 = 1_000;
+            let mut site = Site::start($site, 1);
+            if !$other {
+                site.engines[1].kill();
+                site.wait_until("the other zone is gone", || {
+                    let status = site.status(0)["domains"].to_string();
+                    !status.contains("sofia-b-d1-w0")
+                });
+            }
+            let results = run_streams(&mut site, &[0], $streams, TOKENS, Stage::Begun, |site| {
+                site.set_worker_faults("sofia-a-d1", &json!({"silent": true}));
+                std::thread::sleep($silent);
+                site.set_worker_faults("sofia-a-d1", &json!({}));
+            });
+            assert_complete(results, TOKENS);
+        }
+    )*};
+}
+
+outlived_silences! {
+    streams_outlive_a_silence: "silent-short", streams STREAMS, other zone true,
+        silent Duration::from_secs(2);
+    streams_outlive_a_long_silence_of_the_only_group: "silent-only", streams 4, other zone false,
+        silent Duration::from_secs(16);
+    streams_outlive_a_long_silence_without_retries: "silent-retries", streams 60, other zone true,
+        silent Duration::from_secs(13);
+}
+
 #[test]
 fn a_graceful_shutdown_cuts_no_stream() {
     let mut site = Site::start("drain", 2);
--- a/dev/stand-in/tests/site/mod.rs
+++ b/dev/stand-in/tests/site/mod.rs
@@ -386,6 +386,15 @@
         smol::block_on(self.http.call_unpooled(request)).unwrap()
     }
 
+    /// Sets the faults of every worker of a fabric domain.
+    pub fn set_worker_faults(&self, domain: &str, faults: &Value) {
+        let listings = self.instances().into_iter();
+        for listing in listings.filter(|l| l.domain.as_str() == domain) {
+            let faults = faults.clone();
+            self.request_as_operator(listing.address, Method::Post, "/admin/faults", faults);
+        }
+    }
+
     pub fn set_platform_faults(&self, faults: Value) {
         self.request_as_operator(self.platform, Method::Post, "/admin/faults", faults);
     }
