fix: keep a silent stream until another group has resumed it

Callers: a stream, or a complete response, ends with endpoint_failed after a silence of its worker of 10 s, although the worker goes on later: when the retry budget is spent, when no group serves for the rest of an outage, or when the others refuse.

Cause: a stream without a new chunk for 10 s was closed first, and a retry, an admission and a group that answers were looked for afterwards. Silences of 1 to 2 s were never a reason (no probe of a worker ends a stream of this interface; streams_outlive_a_silence).

Such a stream now stays open while another group is asked to resume it, and the first of the two that returns a chunk serves the caller. A refusal ends the request only once the silent stream has had as long as a caller may wait for its first byte. A stream that breaks meanwhile is handled as before, with its strike. A silent request may hold a second ticket for that time.

--- a/crates/cyclamen-entry/src/caller/completion.rs
+++ b/crates/cyclamen-entry/src/caller/completion.rs
@@ -3,6 +3,7 @@
 
 mod delivery;
 mod job;
+mod silence;
 
 use std::sync::Arc;
 
--- a/crates/cyclamen-entry/src/caller/completion/job.rs
+++ b/crates/cyclamen-entry/src/caller/completion/job.rs
@@ -40,7 +40,7 @@
 /// The stream from the group that currently runs the request.
 pub(super) struct Upstream {
     admitted: Admitted,
-    stream: Stream,
+    pub(super) stream: Stream,
     span: Span,
     first_byte: Option<Duration>,
 }
@@ -54,23 +54,31 @@
                 None => Box::pin(self.connect()).await?,
             };
             match upstream.stream.next().await {
-                Ok(Chunk::End) => {
-                    let first_byte = upstream.first_byte.unwrap_or_default();
-                    upstream.admitted.end(Ending::Complete(first_byte));
-                    self.record_answer();
-                    return Ok(Chunk::End);
-                }
-                Ok(chunk) => {
-                    self.position = upstream.stream.position();
-                    self.record_first_byte(&mut upstream);
-                    self.upstream = Some(upstream);
-                    return Ok(chunk);
+                Ok(chunk) => return Ok(self.accept(upstream, chunk)),
+                Err(StreamError::Silent) => {
+                    if let Some((upstream, chunk)) = self.outlast(upstream).await? {
+                        return Ok(self.accept(upstream, chunk));
+                    }
                 }
                 Err(cause) => self.handle_break(upstream, cause).await?,
             }
         }
     }
 
+    /// Records a chunk, and keeps its stream unless the chunk is the last one.
+    fn accept(&mut self, mut upstream: Upstream, chunk: Chunk) -> Chunk {
+        if chunk == Chunk::End {
+            let first_byte = upstream.first_byte.unwrap_or_default();
+            upstream.admitted.end(Ending::Complete(first_byte));
+            self.record_answer();
+        } else {
+            self.position = upstream.stream.position();
+            self.record_first_byte(&mut upstream);
+            self.upstream = Some(upstream);
+        }
+        chunk
+    }
+
     /// Records that the request was answered, which clears the parts of its prompt.
     fn record_answer(&self) {
         let answers = self.parts.iter().map(Answer::now);
@@ -92,7 +100,7 @@
     }
 
     /// Admits and sends the request, with retries, until a group starts to respond.
-    async fn connect(&mut self) -> Result<Upstream, Refusal> {
+    pub(super) async fn connect(&mut self) -> Result<Upstream, Refusal> {
         if self.position > 0 {
             self.request.deadline = self.node.now() + self.route.deadline();
         }
@@ -200,11 +208,19 @@
     }
 
     /// Records a broken stream, so that another group resumes it at its last position.
-    async fn handle_break(
+    pub(super) async fn handle_break(
         &mut self,
-        mut upstream: Upstream,
+        upstream: Upstream,
         cause: StreamError,
     ) -> Result<(), Refusal> {
+        self.give_up(upstream, cause).await;
+        self.retry.record_retry(&self.node)?;
+        self.node.metrics.record_resumed_stream();
+        Ok(())
+    }
+
+    /// Ends a stream that broke or that another group has resumed.
+    pub(super) async fn give_up(&self, mut upstream: Upstream, cause: StreamError) {
         log::warn!(
             "event=stream_broken id={} group={} position={} cause={cause:?}",
             self.id,
@@ -216,10 +232,6 @@
         if cause == StreamError::Closed {
             self.record_strike(&upstream.admitted).await;
         }
-        drop(upstream);
-        self.retry.record_retry(&self.node)?;
-        self.node.metrics.record_resumed_stream();
-        Ok(())
     }
 
     /// Records a crash against the request, and sends it to the other entries before the
--- a/dev/stand-in/tests/processes.rs
+++ b/dev/stand-in/tests/processes.rs
@@ -181,6 +181,15 @@
         silent Duration::from_secs(13);
 }
 
+#[test]
+fn streams_go_on_elsewhere_when_their_engines_stay_silent() {
+    let mut site = Site::start("silent-for-good", 2);
+    let results = run_under_load(&mut site, &[0, 1], 1_000, Stage::Begun, |site| {
+        site.set_worker_faults("sofia-a-d1", &json!({"silent": true}));
+    });
+    assert_complete(results, 1_000);
+}
+
 #[test]
 fn a_graceful_shutdown_cuts_no_stream() {
     let mut site = Site::start("drain", 2);
