--- a/crates/cyclamen-domain/tests/domain/main.rs
+++ b/crates/cyclamen-domain/tests/domain/main.rs
@@ -7,3 +7,4 @@
 mod queue;
 mod simulation;
 mod takeover;
+mod unlisted;
--- a/crates/cyclamen-domain/tests/domain/simulation.rs
+++ b/crates/cyclamen-domain/tests/domain/simulation.rs
@@ -241,10 +241,12 @@
         self.entries[entry].domain.set_listings(listings);
     }
 
-    /// Makes an entry probe a worker; the report is in transit until it is delivered.
+    /// Makes an entry probe a worker, if it is one that its domain probes; the report is in transit
+    /// until it is delivered.
     pub fn probe(&mut self, entry: usize, worker: usize) {
         let state = &self.workers[worker].state;
-        if state.responsive {
+        let mut probed = self.entries[entry].domain.listings();
+        if state.responsive && probed.any(|listing| listing.instance == id(worker)) {
             let report = Report {
                 incarnation: instance::Incarnation(state.incarnation),
                 assignment: state.assignment.clone(),
--- a/dev/stand-in/src/platform.rs
+++ b/dev/stand-in/src/platform.rs
@@ -25,6 +25,8 @@
     pub slow_ms: u64,
     /// Transactions take effect, but their responses are lost.
     pub lose_answers: bool,
+    /// The list of instances is empty.
+    pub empty_list: bool,
 }
 
 /// Counters of the table service.
@@ -190,10 +192,9 @@
         state
             .instances
             .retain(|_, registration| registration.registered_at.elapsed() < REGISTRATION_TTL);
-        let listings = state
-            .instances
-            .values()
-            .map(|registration| registration.listing.clone());
+        let is_empty = state.faults.empty_list;
+        let registrations = state.instances.values().filter(|_| !is_empty);
+        let listings = registrations.map(|registration| registration.listing.clone());
         List {
             instances: listings.collect(),
         }
--- a/dev/stand-in/tests/processes.rs
+++ b/dev/stand-in/tests/processes.rs
@@ -190,6 +190,27 @@
     assert_complete(results, 1_000);
 }
 
+#[test]
+fn groups_outlive_a_list_that_is_empty_for_a_while() {
+    const TOKENS: u64 = 3_000;
+    let mut site = Site::start("empty-list", 1);
+    let memberships = |site: &Site| {
+        let domains = site.status(0)["domains"].as_array().cloned();
+        let groups = domains.into_iter().flatten().map(|d| d["groups"].clone());
+        let groups = groups.flat_map(|groups| groups.as_array().cloned().unwrap_or_default());
+        let memberships = groups.map(|g| (g["id"].clone(), g["fence"].clone()));
+        memberships.collect::<Vec<_>>()
+    };
+    let before = memberships(&site);
+    let results = run_under_load(&mut site, &[0], TOKENS, Stage::Begun, |site| {
+        site.set_platform_faults(json!({"empty_list": true}));
+        std::thread::sleep(Duration::from_secs(5));
+        site.set_platform_faults(json!({}));
+    });
+    assert_complete(results, TOKENS);
+    assert_eq!(memberships(&site), before);
+}
+
 #[test]
 fn a_graceful_shutdown_cuts_no_stream() {
     let mut site = Site::start("drain", 2);
