fix: probe members of groups that the platform's list lacks

Callers: the list lacks workers for some seconds although they run (it is empty, or they did not register in time): their streams break, and end with endpoint_failed, since all are suspected of the crash at once and run one at a time.

Cause: an entry probes the instances on the list. A member that the list lacks was therefore silent after 1.5 s, and being unlisted and silent is being gone: its group was dropped or repaired whatever it ran, although owners keep an unlisted member that responds until its group is idle. The tests probed every worker and did not see it.

A domain now keeps the last listings of members of its groups, and names them as instances to probe; unlisted members get no orders and their groups no new requests, as before. A member that does not answer is gone after 1.5 s, as before. Not covered: an owner that never saw a member listed has no address to probe.

--- a/crates/cyclamen-domain/src/domain.rs
+++ b/crates/cyclamen-domain/src/domain.rs
@@ -105,10 +105,9 @@
 
     /// Replaces the platform's list of this domain's instances.
     pub fn set_listings(&mut self, listings: impl IntoIterator<Item = Listing>) {
-        self.monitor.set_listings(listings);
         let groups = self.row.groups.iter();
         let members = groups.flat_map(|group| group.members.iter().map(|m| &m.instance));
-        self.monitor.forget_unlisted(&members.collect());
+        self.monitor.set_listings(listings, &members.collect());
     }
 
     /// Returns the number of instances of which any state is held.
@@ -116,9 +115,10 @@
         self.monitor.known_instances()
     }
 
-    /// Returns the instances to probe.
+    /// Returns the instances to probe: the listed ones, and the members of groups that the list
+    /// lacks.
     pub fn listings(&self) -> impl Iterator<Item = &Listing> {
-        self.monitor.listings()
+        self.monitor.probed()
     }
 
     /// Records a report; `probed_at` is the time just before its probe was sent.
--- a/crates/cyclamen-domain/src/monitor.rs
+++ b/crates/cyclamen-domain/src/monitor.rs
@@ -29,6 +29,8 @@
     observed_from: Time,
     /// The platform's list, or `None` until it was read.
     listings: Option<BTreeMap<instance::Id, Listing>>,
+    /// The last listings of members of groups that the list lacks.
+    unlisted: BTreeMap<instance::Id, Listing>,
     observations: BTreeMap<instance::Id, Observation>,
     /// Reports to probes sent before these times are invalid.
     invalid_before: BTreeMap<instance::Id, Time>,
@@ -65,26 +67,30 @@
         self.invalid_before.clear();
     }
 
-    pub(crate) fn set_listings(&mut self, listings: impl IntoIterator<Item = Listing>) {
+    /// Replaces the list, and forgets the instances that are neither on it nor members of a group.
+    pub(crate) fn set_listings(
+        &mut self,
+        listings: impl IntoIterator<Item = Listing>,
+        members: &BTreeSet<&instance::Id>,
+    ) {
         let pairs = listings.into_iter().map(|l| (l.instance.clone(), l));
-        self.listings = Some(pairs.collect());
-    }
-
-    /// Forgets the instances that are neither listed nor members of a group.
-    pub(crate) fn forget_unlisted(&mut self, members: &BTreeSet<&instance::Id>) {
-        let Some(listings) = &self.listings else {
-            return;
-        };
-        let is_known = |id: &instance::Id| listings.contains_key(id) || members.contains(id);
+        let listings: BTreeMap<_, _> = pairs.collect();
+        self.unlisted
+            .extend(self.listings.take().unwrap_or_default());
+        let is_listed = |id: &instance::Id| listings.contains_key(id);
+        self.unlisted
+            .retain(|id, _| members.contains(id) && !is_listed(id));
+        let is_known = |id: &instance::Id| is_listed(id) || members.contains(id);
         self.observations.retain(|id, _| is_known(id));
         self.invalid_before.retain(|id, _| is_known(id));
+        self.listings = Some(listings);
     }
 
     /// Returns the number of instances of which any state is held.
     pub(crate) fn known_instances(&self) -> usize {
-        let unlisted = self.observations.keys().chain(self.invalid_before.keys());
-        let listed = self.listings().map(|listing| &listing.instance);
-        let known: BTreeSet<_> = unlisted.chain(listed).collect();
+        let reported = self.observations.keys().chain(self.invalid_before.keys());
+        let probed = self.probed().map(|listing| &listing.instance);
+        let known: BTreeSet<_> = reported.chain(probed).collect();
         known.len()
     }
 
@@ -125,6 +131,11 @@
         self.listings.iter().flat_map(BTreeMap::values)
     }
 
+    /// Returns the instances to probe: the listed ones, and the members of groups that the list lacks.
+    pub(crate) fn probed(&self) -> impl Iterator<Item = &Listing> {
+        self.listings().chain(self.unlisted.values())
+    }
+
     /// Returns the last report of an instance if it is valid and within the silence timeout.
     pub(crate) fn fresh_report(
         &self,
