--- a/crates/cyclamen-domain/tests/domain/main.rs
+++ b/crates/cyclamen-domain/tests/domain/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+mod donors;
 mod found;
 mod groups;
 mod queue;
