fix: take members only from groups that can't serve with those they have

Callers: a group loses a worker, no spare is left, and the streams of another group break, although that group is sound and only has a worker that was silent for 1.5 s, or one that is leaving.

Cause: a group counted as a donor for another one as soon as one of its members was not present. The repair of the group itself keeps such a member, for the time of a load if it is silent, and until the group is idle if it is leaving.

Both now ask the same question: a group is a donor if the change of any of its members is not to keep it, so if the member is gone, restarted, silent for longer than a load or to be replaced with the group idle. The other group stays incomplete for longer in exchange, for the time of a load at most beside a silent donor.

--- a/crates/cyclamen-domain/src/plan.rs
+++ b/crates/cyclamen-domain/src/plan.rs
@@ -62,11 +62,11 @@
 impl View<'_> {
     /// Returns the row to write, if it differs from the current one.
     ///
-    /// `is_idle` returns whether a group has no request in progress.
+    /// `is_idle` returns whether a group is known to have no request in progress.
     pub(crate) fn next_row(&self, is_idle: impl Fn(&Group) -> bool) -> Option<Row> {
-        let mut reconciler = Reconciler::new(self);
-        reconciler.drop_groups(&is_idle);
-        reconciler.repair_groups(&is_idle);
+        let mut reconciler = Reconciler::new(self, &is_idle);
+        reconciler.drop_groups();
+        reconciler.repair_groups();
         reconciler.form_groups();
         (reconciler.row != *self.row).then_some(reconciler.row)
     }
--- a/crates/cyclamen-domain/src/reconcile.rs
+++ b/crates/cyclamen-domain/src/reconcile.rs
@@ -23,6 +23,8 @@
 /// Computes the next row of a domain.
 pub(crate) struct Reconciler<'a> {
     view: &'a View<'a>,
+    /// Whether a group is known to have no request in progress.
+    is_idle: &'a dyn Fn(&Group) -> bool,
     pub(crate) row: Row,
     /// Instances that are in no group of the row and may join one.
     free: BTreeMap<pool::Name, Vec<Member>>,
@@ -30,9 +32,10 @@
 }
 
 impl<'a> Reconciler<'a> {
-    pub(crate) fn new(view: &'a View<'a>) -> Self {
+    pub(crate) fn new(view: &'a View<'a>, is_idle: &'a dyn Fn(&Group) -> bool) -> Self {
         let mut reconciler = Self {
             view,
+            is_idle,
             row: view.row.clone(),
             free: BTreeMap::new(),
             loading: 0,
@@ -97,8 +100,8 @@
     }
 
     /// Drops idle groups whose pool no longer exists, and groups whose members are all gone.
-    pub(crate) fn drop_groups(&mut self, is_idle: impl Fn(&Group) -> bool) {
-        let view = self.view;
+    pub(crate) fn drop_groups(&mut self) {
+        let (view, is_idle) = (self.view, self.is_idle);
         self.row.groups.retain(|group| {
             let is_orphan = view.pools.get(&group.pool).is_none() && is_idle(group);
             let is_gone =
@@ -108,15 +111,12 @@
     }
 
     /// Repairs groups, in descending order of present members.
-    pub(crate) fn repair_groups(&mut self, is_idle: impl Fn(&Group) -> bool) {
+    pub(crate) fn repair_groups(&mut self) {
         let mut groups = self.row.groups.clone();
         groups.sort_by_key(|group| std::cmp::Reverse(self.count_present(group)));
         for group in groups {
             let exists = self.row.group(&group.id).is_some();
-            if let Some(members) = exists
-                .then(|| self.repaired_members(&group, is_idle(&group)))
-                .flatten()
-            {
+            if let Some(members) = exists.then(|| self.repaired_members(&group)).flatten() {
                 self.set_members(&group.id, members);
             }
         }
@@ -125,11 +125,11 @@
     /// Returns the members of a group after repair, if they differ.
     ///
     /// Uses spares only if there are enough of them to complete the group.
-    fn repaired_members(&mut self, group: &Group, idle: bool) -> Option<Vec<Member>> {
+    fn repaired_members(&mut self, group: &Group) -> Option<Vec<Member>> {
         let mut members = group.members.clone();
         let mut vacant = Vec::new();
         for (position, member) in members.iter_mut().enumerate() {
-            match self.member_change(group, member, idle) {
+            match self.member_change(group, member) {
                 Change::Keep => {}
                 Change::Rejoin(restarted) => *member = restarted,
                 Change::Replace => vacant.push(position),
@@ -145,11 +145,13 @@
         (members != group.members).then_some(members)
     }
 
-    /// Returns the change to one member; `idle` is whether its group has no request in progress.
-    fn member_change(&self, group: &Group, member: &Member, idle: bool) -> Change {
+    /// Returns the change to one member.
+    fn member_change(&self, group: &Group, member: &Member) -> Change {
         let view = self.view;
         let repair = match view.monitor.presence(view.now, member, view.options) {
-            Presence::Present if self.must_replace(group, member) && idle => Repair::Replace,
+            Presence::Present if self.must_replace(group, member) && (self.is_idle)(group) => {
+                Repair::Replace
+            }
             Presence::Present => Repair::Wait,
             Presence::Restarted => match self.candidate(&member.instance) {
                 Some((_, restarted)) => return Change::Rejoin(restarted),
@@ -217,9 +219,11 @@
         self.free.get(pool).map_or(0, Vec::len)
     }
 
-    /// Returns the incomplete groups of the pool that are weaker than `target`, the weakest last.
+    /// Returns the groups of the pool that are weaker than `target` and cannot serve with their
+    /// present members, the weakest last.
     ///
-    /// A group is weaker if it has fewer present members, or as many and a lower id.
+    /// A group is weaker if it has fewer present members, or as many and a lower id. One whose
+    /// members all stay may still run requests.
     fn donors(&self, target: &Group) -> Vec<Group> {
         let strength = |g: &Group| (self.count_present(g), g.id.clone());
         let others = self
@@ -227,13 +231,18 @@
             .groups
             .iter()
             .filter(|g| g.id != target.id && g.pool == target.pool);
-        let weaker = others
-            .filter(|g| self.count_present(g) < g.members.len() && strength(g) < strength(target));
+        let weaker = others.filter(|g| self.changes(g) && strength(g) < strength(target));
         let mut donors: Vec<_> = weaker.cloned().collect();
         donors.sort_by_key(|g| std::cmp::Reverse(strength(g)));
         donors
     }
 
+    /// Returns whether any member of a group has to rejoin it or to be replaced.
+    fn changes(&self, group: &Group) -> bool {
+        let mut members = group.members.iter();
+        members.any(|m| !matches!(self.member_change(group, m), Change::Keep))
+    }
+
     /// Returns the members of a group that may join another group.
     fn spares_of(&self, group: &Group) -> Vec<Member> {
         let members = group.members.iter();
