test: check in any history of a domain that no running group is taken apart for silence

The stateful test of groups, and every case on its simulation, now checks each row that an owner writes: a complete group that runs requests stays as it is unless a member has not answered for the time of a load, or for the silence timeout while it is unlisted.

--- a/crates/cyclamen-domain/tests/domain/simulation.rs
+++ b/crates/cyclamen-domain/tests/domain/simulation.rs
@@ -1,7 +1,7 @@
 //! Simulation of a fabric domain in virtual time: workers, the table and two entries that
 //! can own it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use cyclamen_domain::listing::Status;
@@ -76,6 +76,9 @@
     pub orders: Vec<(usize, Order)>,
     pub reports: Vec<(usize, usize, Time, Report)>,
     pub tickets: Vec<HeldTicket>,
+    /// When the last probe that a worker answered was sent, by entry and worker.
+    answered: BTreeMap<(usize, usize), Time>,
+    owned_since: Time,
     next_ticket: u64,
     next_incarnation: u64,
 }
@@ -145,6 +148,8 @@
             orders: Vec::new(),
             reports: Vec::new(),
             tickets: Vec::new(),
+            answered: BTreeMap::new(),
+            owned_since: Time::default(),
             next_ticket: 0,
             next_incarnation: 100,
         };
@@ -205,6 +210,7 @@
         }
         self.row = self.row.with_owner(Some(self.entries[to].owner.clone()));
         self.revision += 1;
+        self.owned_since = self.now;
         self.entries[to].lease_held = true;
         self.sync(to);
     }
@@ -262,6 +268,8 @@
         if !self.reports.is_empty() {
             let at = pick % self.reports.len();
             let (entry, worker, probed_at, report) = self.reports.remove(at);
+            let answered = self.answered.entry((entry, worker)).or_default();
+            *answered = probed_at.max(*answered);
             self.entries[entry]
                 .domain
                 .record_report(probed_at, &id(worker), report);
@@ -278,6 +286,7 @@
         for step in steps {
             match step {
                 Step::Write(row) if self.entries[entry].revision == self.revision => {
+                    self.check_running_groups(entry, &row);
                     self.row = row;
                     self.revision += 1;
                     self.sync(entry);
@@ -290,6 +299,46 @@
         }
     }
 
+    /// Checks that a plan takes no group apart that runs requests, unless a member counts as lost.
+    fn check_running_groups(&self, planner: usize, next: &Row) {
+        for group in self.row.groups.iter().filter(|g| self.runs_requests(g)) {
+            let is_kept = next
+                .group(&group.id)
+                .is_some_and(|g| g.fence == group.fence);
+            let mut members = group.members.iter().map(|m| index(&m.instance));
+            let any_lost = members.any(|worker| self.counts_as_lost(planner, worker));
+            assert!(is_kept || any_lost, "{group:?} runs requests");
+        }
+    }
+
+    /// Returns whether a group is complete, though some members may be silent, and runs requests.
+    fn runs_requests(&self, group: &Group) -> bool {
+        let wanted = Some(Assignment {
+            group: group.id.clone(),
+            fence: group.fence,
+        });
+        let mut members = group.members.iter();
+        let is_complete = members.all(|member| {
+            let state = &self.workers[index(&member.instance)].state;
+            state.incarnation == member.incarnation.0 && state.assignment == wanted
+        });
+        let head = &self.workers[index(&group.members[0].instance)];
+        is_complete && head.running > 0
+    }
+
+    /// Returns whether an owner has not heard from a worker for long enough to replace it.
+    fn counts_as_lost(&self, owner: usize, worker: usize) -> bool {
+        let answered = self.answered.get(&(owner, worker)).copied();
+        let since = self.owned_since.max(answered.unwrap_or_default());
+        let silent = self.now.since(since);
+        let mut listings = self.entries[owner].listings.iter();
+        if listings.any(|listing| listing.instance == id(worker)) {
+            silent >= self.options.load_time
+        } else {
+            silent > self.options.silence_timeout
+        }
+    }
+
     pub fn deliver_order(&mut self, pick: usize) {
         if self.orders.is_empty() {
             return;
