--- a/crates/cyclamen-domain/src/domain.rs
+++ b/crates/cyclamen-domain/src/domain.rs
@@ -88,6 +88,9 @@
             self.loads.clear();
             self.serving.clear();
         }
+        if gained {
+            self.monitor.start(now);
+        }
         self.mine = mine;
         self.row = row;
         let start_within = self.options.start_within;
@@ -102,10 +105,9 @@
 
     /// Replaces the platform's list of this domain's instances.
     pub fn set_listings(&mut self, listings: impl IntoIterator<Item = Listing>) {
-        self.monitor.set_listings(listings);
         let groups = self.row.groups.iter();
         let members = groups.flat_map(|group| group.members.iter().map(|m| &m.instance));
-        self.monitor.forget_unlisted(&members.collect());
+        self.monitor.set_listings(listings, &members.collect());
     }
 
     /// Returns the number of instances of which any state is held.
@@ -113,9 +115,10 @@
         self.monitor.known_instances()
     }
 
-    /// Returns the instances to probe.
+    /// Returns the instances to probe: the listed ones, and the members of groups that the list
+    /// lacks.
     pub fn listings(&self) -> impl Iterator<Item = &Listing> {
-        self.monitor.listings()
+        self.monitor.probed()
     }
 
     /// Records a report; `probed_at` is the time just before its probe was sent.
@@ -141,6 +144,11 @@
         self.loads.get(group).map_or(0, Load::in_progress)
     }
 
+    /// Returns whether a group is known to have no request in progress.
+    fn is_idle(&self, group: &group::Id) -> bool {
+        self.loads.get(group).is_some_and(Load::is_idle)
+    }
+
     /// Returns the maximum number of requests in progress on a group at this time.
     pub fn limit(&self, now: Time, group: &Group, pools: &Pools) -> u32 {
         let limits = limits_of(pools, &group.pool);
@@ -172,7 +180,7 @@
             pools,
             options: &self.options,
         };
-        if let Some(row) = view.next_row(|g| self.in_progress(&g.id) == 0) {
+        if let Some(row) = view.next_row(|g| self.is_idle(&g.id)) {
             return vec![Step::Write(row)];
         }
         let orders = view.orders();
--- a/crates/cyclamen-domain/src/monitor.rs
+++ b/crates/cyclamen-domain/src/monitor.rs
@@ -25,7 +25,12 @@
 /// Latest listings and reports of the domain's instances.
 #[derive(Debug, Default)]
 pub(crate) struct Monitor {
-    listings: BTreeMap<instance::Id, Listing>,
+    /// Since when this owner has owned the domain and probed its workers.
+    observed_from: Time,
+    /// The platform's list, or `None` until it was read.
+    listings: Option<BTreeMap<instance::Id, Listing>>,
+    /// The last listings of members of groups that the list lacks.
+    unlisted: BTreeMap<instance::Id, Listing>,
     observations: BTreeMap<instance::Id, Observation>,
     /// Reports to probes sent before these times are invalid.
     invalid_before: BTreeMap<instance::Id, Time>,
@@ -44,7 +49,7 @@
 pub(crate) enum Presence {
     /// Answers probes, with the incarnation that the group was formed with.
     Present,
-    /// Listed, but has answered no probe sent after this time.
+    /// Has answered no probe sent after this time, or since this owner began to probe.
     Silent(Time),
     /// Reported another incarnation.
     Restarted,
@@ -53,27 +58,44 @@
 }
 
 impl Monitor {
-    pub(crate) fn set_listings(&mut self, listings: impl IntoIterator<Item = Listing>) {
-        let pairs = listings.into_iter().map(|l| (l.instance.clone(), l));
-        self.listings = pairs.collect();
+    /// Forgets all reports, as another owner may have changed the groups since they arrived.
+    ///
+    /// A member counts as silent only for the time since then, not for the time before.
+    pub(crate) fn start(&mut self, now: Time) {
+        self.observed_from = now;
+        self.observations.clear();
+        self.invalid_before.clear();
     }
 
-    /// Forgets the instances that are neither listed nor members of a group.
-    pub(crate) fn forget_unlisted(&mut self, members: &BTreeSet<&instance::Id>) {
-        let listings = &self.listings;
-        let is_known = |id: &instance::Id| listings.contains_key(id) || members.contains(id);
+    /// Replaces the list, and forgets the instances that are neither on it nor members of a group.
+    pub(crate) fn set_listings(
+        &mut self,
+        listings: impl IntoIterator<Item = Listing>,
+        members: &BTreeSet<&instance::Id>,
+    ) {
+        let pairs = listings.into_iter().map(|l| (l.instance.clone(), l));
+        let listings: BTreeMap<_, _> = pairs.collect();
+        self.unlisted
+            .extend(self.listings.take().unwrap_or_default());
+        let is_listed = |id: &instance::Id| listings.contains_key(id);
+        self.unlisted
+            .retain(|id, _| members.contains(id) && !is_listed(id));
+        let is_known = |id: &instance::Id| is_listed(id) || members.contains(id);
         self.observations.retain(|id, _| is_known(id));
         self.invalid_before.retain(|id, _| is_known(id));
+        self.listings = Some(listings);
     }
 
     /// Returns the number of instances of which any state is held.
     pub(crate) fn known_instances(&self) -> usize {
-        let unlisted = self.observations.keys().chain(self.invalid_before.keys());
-        let known: BTreeSet<_> = unlisted.chain(self.listings.keys()).collect();
+        let reported = self.observations.keys().chain(self.invalid_before.keys());
+        let probed = self.probed().map(|listing| &listing.instance);
+        let known: BTreeSet<_> = reported.chain(probed).collect();
         known.len()
     }
 
-    /// Records a report, unless one to a later probe was recorded before.
+    /// Records a report, unless one to a later probe was recorded before or its probe was sent
+    /// under an earlier ownership.
     pub(crate) fn record_report(
         &mut self,
         probed_at: Time,
@@ -84,7 +106,7 @@
             .observations
             .get(instance)
             .is_some_and(|o| o.probed_at > probed_at);
-        if !is_outdated {
+        if !is_outdated && probed_at >= self.observed_from {
             self.observations
                 .insert(instance.clone(), Observation { probed_at, report });
         }
@@ -102,11 +124,16 @@
     }
 
     pub(crate) fn listing(&self, instance: &instance::Id) -> Option<&Listing> {
-        self.listings.get(instance)
+        self.listings.as_ref()?.get(instance)
     }
 
     pub(crate) fn listings(&self) -> impl Iterator<Item = &Listing> {
-        self.listings.values()
+        self.listings.iter().flat_map(BTreeMap::values)
+    }
+
+    /// Returns the instances to probe: the listed ones, and the members of groups that the list lacks.
+    pub(crate) fn probed(&self) -> impl Iterator<Item = &Listing> {
+        self.listings().chain(self.unlisted.values())
     }
 
     /// Returns the last report of an instance if it is valid and within the silence timeout.
@@ -125,24 +152,18 @@
     }
 
     pub(crate) fn presence(&self, now: Time, member: &Member, options: &Options) -> Presence {
-        let listed = self.listings.contains_key(&member.instance);
-        let Some(last) = self.observations.get(&member.instance) else {
-            return if listed {
-                Presence::Silent(Time::default())
-            } else {
-                Presence::Gone
-            };
-        };
-        if last.report.incarnation != member.incarnation {
+        let last = self.observations.get(&member.instance);
+        if last.is_some_and(|o| o.report.incarnation != member.incarnation) {
             return Presence::Restarted;
         }
-        if now.since(last.probed_at) <= options.silence_timeout {
-            return Presence::Present;
-        }
-        if listed {
-            Presence::Silent(last.probed_at)
-        } else {
-            Presence::Gone
+        let since = last.map_or(self.observed_from, |o| o.probed_at);
+        let is_recent = now.since(since) <= options.silence_timeout;
+        let listings = self.listings.as_ref();
+        let is_unlisted = listings.is_some_and(|l| !l.contains_key(&member.instance));
+        match last {
+            Some(_) if is_recent => Presence::Present,
+            _ if is_unlisted && !is_recent => Presence::Gone,
+            _ => Presence::Silent(since),
         }
     }
 
@@ -188,8 +209,7 @@
 
     /// Returns whether a member is unlisted, is leaving or is in a zone that is out.
     pub(crate) fn is_draining(&self, member: &Member, pools: &Pools) -> bool {
-        self.listings
-            .get(&member.instance)
+        self.listing(&member.instance)
             .is_none_or(|l| l.status == Status::Leaving || pools.zones_out.contains(&l.zone))
     }
 }
--- a/crates/cyclamen-domain/tests/domain/main.rs
+++ b/crates/cyclamen-domain/tests/domain/main.rs
@@ -2,7 +2,10 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+mod donors;
 mod found;
 mod groups;
 mod queue;
 mod simulation;
+mod takeover;
+mod unlisted;
