fix: a probe of a worker that another entry suspects takes no work from it

Cause: an entry stops to report a worker as reached one second after its probe responded, though it probes it again only when the next report arrives. The owner's next plan in between takes the worker for failed. Likewise a report took a worker from the targets of an entry whose requests it was answering, for the time of the probe, so that one entry without a path disturbs all. Change: a worker that responded counts as reached for two seconds unless a probe fails, and one that responded to a request or a probe in that time stays a target while it is probed. A failed probe ends both at once, and the probe still begins after one second, so a real failure is found as soon as before. Failed before (both conditions taken out one by one): detector::a_worker_that_another_entry_reaches_has_not_failed_while_it_is_probed_again and a_reported_suspicion_takes_no_work_from_a_worker_that_responded_lately.

--- a/crates/cyclamen-replica/src/detector.rs
+++ b/crates/cyclamen-replica/src/detector.rs
@@ -34,9 +34,12 @@
 /// Timeouts and intervals of a failure detector.
 #[derive(Debug, Clone, Copy)]
 pub struct Timing {
-    /// How long a successful probe overrides suspicions reported by other entries, and is
-    /// reported to them.
+    /// How long a successful probe overrides suspicions reported by other entries.
     pub alive_ttl: Duration,
+    /// How long a worker that responded counts as reached until a probe fails: a successful probe
+    /// is reported to other entries, and a suspicion that these report does not take work from the
+    /// worker while it is probed. Longer than `alive_ttl`, after which it is probed again.
+    pub contact_ttl: Duration,
     /// How long another entry's report that it reaches a worker is valid.
     pub reached_ttl: Duration,
     /// How long a worker has to be suspected before it counts as failed if no
@@ -59,6 +62,7 @@
     fn default() -> Self {
         Self {
             alive_ttl: Duration::from_secs(1),
+            contact_ttl: Duration::from_secs(2),
             reached_ttl: Duration::from_millis(500),
             single_observer_timeout: Duration::from_millis(600),
             suspicion_ttl: Duration::from_secs(3),
@@ -98,9 +102,19 @@
     /// The last report of each other entry.
     reports: BTreeMap<entry::Name, Report>,
     /// Workers that are being probed because another entry suspects them.
-    probing: BTreeMap<Start, Time>,
+    probing: BTreeMap<Start, Probing>,
     /// When each worker last responded to a probe.
     last_success: BTreeMap<Start, Time>,
+    /// When each worker last responded to a request or a probe.
+    last_contact: BTreeMap<Start, Time>,
+}
+
+/// A probe of a worker that another entry suspects.
+#[derive(Debug, Clone, Copy)]
+struct Probing {
+    since: Time,
+    /// Whether the worker gets no new work until it responds: it has not done so lately.
+    is_suspected: bool,
 }
 
 impl Detector {
@@ -108,6 +122,7 @@
     pub fn suspect(&mut self, now: Time, start: &Start) -> bool {
         self.probing.remove(start);
         self.last_success.remove(start);
+        self.last_contact.remove(start);
         let known = self.local.get(start);
         let suspicion = Suspicion {
             since: known.map_or(now, |known| known.since),
@@ -120,8 +135,20 @@
     /// Records a successful probe and returns whether the worker was suspected.
     pub fn restore(&mut self, now: Time, start: &Start) -> bool {
         self.last_success.insert(start.clone(), now);
-        let probing = self.probing.remove(start).is_some();
-        self.local.remove(start).is_some() || probing
+        self.record_contact(now, start);
+        let probing = self.probing.remove(start);
+        let was_suspected = probing.is_some_and(|probing| probing.is_suspected);
+        self.local.remove(start).is_some() || was_suspected
+    }
+
+    /// Records that a worker responded to a request.
+    pub fn record_contact(&mut self, now: Time, start: &Start) {
+        match self.last_contact.get_mut(start) {
+            Some(at) => *at = now,
+            None => {
+                self.last_contact.insert(start.clone(), now);
+            }
+        }
     }
 
     /// Records the complete sets of workers that another entry suspects and of suspected ones that
@@ -146,7 +173,13 @@
             .filter(|s| !self.is_alive(now, s) && !known(s));
         let to_probe: Vec<Start> = to_probe.cloned().collect();
         for start in &to_probe {
-            self.probing.insert(start.clone(), now);
+            let contact = self.last_contact.get(start);
+            let is_suspected = !is_recent(now, contact, self.timing.contact_ttl);
+            let probing = Probing {
+                since: now,
+                is_suspected,
+            };
+            self.probing.insert(start.clone(), probing);
         }
         let report = Report {
             at: now,
@@ -159,12 +192,19 @@
 
     /// Returns whether a worker is suspected and should get no new work.
     pub fn is_suspected(&self, start: &Start) -> bool {
-        self.local.contains_key(start) || self.probing.contains_key(start)
+        let probing = self.probing.get(start);
+        self.local.contains_key(start) || probing.is_some_and(|probing| probing.is_suspected)
+    }
+
+    /// Returns whether a worker failed probes of this entry and has not responded since.
+    pub fn has_failed_probes(&self, start: &Start) -> bool {
+        self.local.contains_key(start)
     }
 
     /// Returns all suspected workers.
     pub fn suspected(&self) -> impl Iterator<Item = &Start> {
-        self.local.keys().chain(self.probing.keys())
+        let probing = self.probing.iter().filter(|(_, p)| p.is_suspected);
+        self.local.keys().chain(probing.map(|(start, _)| start))
     }
 
     /// Returns whether a worker responded lately to another entry although some entry suspects it.
@@ -179,15 +219,16 @@
     pub fn reached(&self, now: Time) -> impl Iterator<Item = &Start> {
         let suspected = self.reports.values().flat_map(|report| &report.suspected);
         let suspected: BTreeSet<&Start> = suspected.collect();
-        suspected
-            .into_iter()
-            .filter(move |start| self.is_alive(now, start))
+        suspected.into_iter().filter(move |start| {
+            let responded_at = self.last_success.get(start);
+            is_recent(now, responded_at, self.timing.contact_ttl)
+        })
     }
 
     /// Returns whether a worker responded lately to a probe of this entry.
     fn is_alive(&self, now: Time, start: &Start) -> bool {
         let responded_at = self.last_success.get(start);
-        responded_at.is_some_and(|at| now.since(*at) < self.timing.alive_ttl)
+        is_recent(now, responded_at, self.timing.alive_ttl)
     }
 
     /// Returns whether a worker counts as failed and is to be replaced. One that another entry
@@ -238,16 +279,24 @@
     pub fn expire(&mut self, now: Time) -> bool {
         let Timing {
             alive_ttl,
+            contact_ttl,
             suspicion_ttl,
             ..
         } = self.timing;
-        let before = self.local.len() + self.probing.len();
+        let before = self.suspected().count();
         self.local
             .retain(|_, suspicion| now.since(suspicion.last_confirmed) < suspicion_ttl);
-        self.probing.retain(|_, at| now.since(*at) < alive_ttl);
+        self.probing
+            .retain(|_, probing| now.since(probing.since) < alive_ttl);
         self.reports
             .retain(|_, report| now.since(report.at) < suspicion_ttl);
-        self.last_success.retain(|_, at| now.since(*at) < alive_ttl);
-        self.local.len() + self.probing.len() < before
+        for contacts in [&mut self.last_success, &mut self.last_contact] {
+            contacts.retain(|_, at| now.since(*at) < contact_ttl);
+        }
+        self.suspected().count() < before
     }
 }
+
+fn is_recent(now: Time, at: Option<&Time>, ttl: Duration) -> bool {
+    at.is_some_and(|at| now.since(*at) < ttl)
+}
--- a/crates/cyclamen-replica/tests/replica/detector.rs
+++ b/crates/cyclamen-replica/tests/replica/detector.rs
@@ -213,3 +213,48 @@
     a_worker_that_another_entry_reaches_no_longer_has_failed: 0..=1_000, 5_000 => true;
     a_worker_that_no_other_entry_reaches_has_failed: 0..=0, 1_000 => true;
 }
+
+/// Guards against a suspicion of another entry, which may have lost its path, that takes work from
+/// a worker that responded a moment ago.
+#[test]
+fn a_reported_suspicion_takes_no_work_from_a_worker_that_responded_lately() {
+    let worker = start("w");
+    let mut detector = Detector::default();
+    detector.record_contact(at(0), &worker);
+    let suspected = [worker.clone()];
+    let to_probe = detector.record_report(at(1_000), &entry("other"), suspected.clone(), []);
+    assert_eq!(to_probe, suspected);
+    assert!(!detector.is_suspected(&worker));
+    detector.suspect(at(1_240), &worker);
+    assert!(detector.is_suspected(&worker));
+}
+
+#[test]
+fn a_reported_suspicion_takes_work_from_a_worker_that_has_not_responded_lately() {
+    let worker = start("w");
+    let mut detector = Detector::default();
+    detector.record_contact(at(0), &worker);
+    detector.record_report(at(3_000), &entry("other"), [worker.clone()], []);
+    assert!(detector.is_suspected(&worker));
+}
+
+/// Guards against a worker that counts as failed in the moment in which another entry, which
+/// reaches it, probes it again.
+#[test]
+fn a_worker_that_another_entry_reaches_has_not_failed_while_it_is_probed_again() {
+    let worker = start("w");
+    let (mut one, mut other) = (Detector::default(), Detector::default());
+    let mut probed = Vec::new();
+    for now in (0..6_000).step_by(20).map(at) {
+        for worker in probed.drain(..) {
+            other.restore(now, &worker);
+        }
+        if now.since(at(0)).as_millis().is_multiple_of(200) {
+            one.suspect(now, &worker);
+        }
+        other.expire(now);
+        report(now, &other, "other", &mut one);
+        probed.extend(report(now, &one, "one", &mut other));
+        assert!(!one.is_failed(now, &worker), "at {now:?}");
+    }
+}
