fix: a plain worker whose connections fail gets no requests until it accepts one

Cause: a worker of a service without models was never probed, since a request to it takes a slot, and thus never suspected: each request tried it again and waited for the connection. Change: a failed connection to such a worker starts a probe that only opens a connection and closes it, which takes no slot (Platform::connects). From there all is as with workers of models: suspected after two failed probes, no target, told to other entries, probed again until it accepts. Failed before: the three tests of plain.rs, which timed out waiting for the worker to be suspected (refused, ignored in a full queue, and back again).

--- a/crates/cyclamen-gateway/src/platform.rs
+++ b/crates/cyclamen-gateway/src/platform.rs
@@ -64,4 +64,8 @@
 
     /// Probes a worker; returns whether it responded within the timeout.
     fn probe(&self, address: SocketAddr, timeout: Duration) -> BoxFuture<Response<bool>>;
+
+    /// Probes a worker without sending it a request, which would take the slot of another one;
+    /// returns whether it accepted a connection within the timeout.
+    fn connects(&self, address: SocketAddr, timeout: Duration) -> BoxFuture<bool>;
 }
--- a/crates/cyclamen-gateway/src/tasks/probe.rs
+++ b/crates/cyclamen-gateway/src/tasks/probe.rs
@@ -7,6 +7,7 @@
 use cyclamen_directory::Instance;
 use cyclamen_dispatch::Target;
 use cyclamen_replica::Start;
+use cyclamen_types::{Time, instance};
 
 use crate::node::{Node, State};
 use crate::settings::millis;
@@ -22,58 +23,100 @@
 /// The maximum number of groups that an entry probes per second.
 const MAX_GROUP_PROBES_PER_SECOND: usize = 8;
 
-/// Probes every member of the group that a target heads.
+/// Probes every member of the group that a target heads, or the worker of a plain service.
 ///
-/// A group that was probed a moment ago is not probed again. Workers of plain
-/// services are not probed, because each probe takes the slot of a request.
+/// A group that was probed a moment ago is not probed again.
 pub(crate) fn probe_group(node: &Arc<Node>, target: &Target) {
-    if target.model.is_none() {
-        return;
-    }
-    let now = node.now();
-    let id = &target.instance;
-    let members: Vec<Arc<Instance>> = {
+    let members = {
+        let now = node.now();
         let mut state = node.state();
-        let last = state.group_probed_at.get(id);
-        if last.is_some_and(|at| now.since(*at) < MIN_GROUP_PROBE_INTERVAL) {
-            return;
-        }
-        state
-            .group_probed_at
-            .retain(|_, at| now.since(*at) < Duration::from_secs(1));
-        if state.group_probed_at.len() >= MAX_GROUP_PROBES_PER_SECOND {
+        if !start_group_probe(&mut state, now, &target.instance) {
             return;
         }
-        state.group_probed_at.insert(id.clone(), now);
-        let group = state.group_of_head(id);
-        group.map_or_else(Vec::new, |g| g.members.into_values().collect())
+        members(&state, target)
     };
-    log::info!("event=group_checked head={id} members={}", members.len());
+    let (head, count) = (&target.instance, members.len());
+    log::info!("event=group_checked head={head} members={count}");
     for member in members {
         probe_worker(node, member, INITIAL_PROBES);
     }
 }
 
-/// Probes a worker, and suspects it if every probe fails.
+/// Returns whether a group may be probed now, and if so counts the probe.
+fn start_group_probe(state: &mut State, now: Time, head: &instance::Id) -> bool {
+    let probed_at = &mut state.group_probed_at;
+    let last = probed_at.get(head);
+    if last.is_some_and(|at| now.since(*at) < MIN_GROUP_PROBE_INTERVAL) {
+        return false;
+    }
+    probed_at.retain(|_, at| now.since(*at) < Duration::from_secs(1));
+    if probed_at.len() >= MAX_GROUP_PROBES_PER_SECOND {
+        return false;
+    }
+    probed_at.insert(head.clone(), now);
+    true
+}
+
+/// Returns the workers that run the requests of a target.
+fn members(state: &State, target: &Target) -> Vec<Arc<Instance>> {
+    let id = &target.instance;
+    if target.model.is_some() {
+        let group = state.group_of_head(id);
+        return group.map_or_else(Vec::new, |g| g.members.into_values().collect());
+    }
+    let worker = state.registry.get(id).map(|record| &record.instance);
+    let worker = worker.filter(|worker| worker.incarnation == target.incarnation);
+    worker.cloned().into_iter().collect()
+}
+
+/// Starts probing a worker, and suspects it if every probe fails.
 pub(super) fn probe_worker(node: &Arc<Node>, worker: Arc<Instance>, probes: u32) {
     let node = node.clone();
     let probing = async move {
-        let start = Start::from(worker.as_ref());
-        if responds(&node, &start, worker.address, probes).await {
-            let now = node.now();
-            node.state().restore(now, &start);
-            return;
-        }
-        let now = node.now();
-        let is_new = node.state().suspect(now, &start);
-        if is_new {
-            gossip_now(&node);
-            node.wake_planner();
-        }
+        probe(&node, &worker, probes).await;
     };
     smol::spawn(probing).detach();
 }
 
+/// Probes a worker, and suspects it if every probe fails; returns whether it responds.
+async fn probe(node: &Arc<Node>, worker: &Instance, probes: u32) -> bool {
+    let start = Start::from(worker);
+    let responds = if is_plain(&node.state(), worker) {
+        accepts(node, worker.address, probes).await
+    } else {
+        responds(node, &start, worker.address, probes).await
+    };
+    let now = node.now();
+    if responds {
+        node.state().restore(now, &start);
+        return true;
+    }
+    let is_new = node.state().suspect(now, &start);
+    if is_new {
+        gossip_now(node);
+        node.wake_planner();
+    }
+    false
+}
+
+/// Returns whether a worker belongs to a service without models.
+fn is_plain(state: &State, worker: &Instance) -> bool {
+    let service = state.catalog.service(&worker.service);
+    service.is_some_and(|service| service.engine.is_none())
+}
+
+/// Connects up to `probes` times to a worker of a plain service, where a request would take the
+/// slot of another one; returns whether it accepts a connection.
+async fn accepts(node: &Node, address: SocketAddr, probes: u32) -> bool {
+    let timeout = millis(node.settings.timing.report_timeout_ms);
+    for _ in 0..probes {
+        if node.platform.connects(address, timeout).await {
+            return true;
+        }
+    }
+    false
+}
+
 /// Probes a worker up to `probes` times; returns whether it responds.
 pub(super) async fn responds(
     node: &Arc<Node>,
--- a/crates/cyclamen-http/src/lib.rs
+++ b/crates/cyclamen-http/src/lib.rs
@@ -5,9 +5,11 @@
 //! process.
 
 mod client;
+mod connect;
 mod dialer;
 mod error;
 mod transport;
 
 pub use client::{Client, Options, Request, Response, StreamingResponse};
+pub use connect::accepts;
 pub use error::Error;
