feat: an entry knows when it has lost its path to the workers of a service

Now: two different workers of a service (or all, if it has fewer) fail with no response of another in between, a check of up to six further workers gets none either, and a peer heard lately neither lists the service as lost nor all its models as unserved. Failures are those of connections and probes of listed workers that had not failed before; a response of any kind ends the cut. The check keeps a loss of some workers from counting: it takes at most six probes each 200 ms and service in doubt, whatever the size of the fleet, and while the cut lasts only it probes the service's workers. When one responds, up to 64 that failed are probed at once. Entries gossip in cut_off what they do not reach for whatever reason, so that two which reach nothing do not each take the other for sound. Logs cut_off and reached_again, gauge cut_off_services. Failed before: the decision is new; with others_reach taken as true, links::workers_that_no_entry_reaches_are_no_cut fails; without the check, reach::failed_workers_are_no_cut_until_the_path_is_checked.

--- a/crates/cyclamen-gateway/src/metrics.rs
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     table_age: Gauge<f64>,
     contained_parts: Gauge<u64>,
     owned_domains: Gauge<u64>,
+    cut_off_services: Gauge<u64>,
     store_era: Gauge<u64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
@@ -58,6 +59,7 @@
             targets: meter.u64_gauge("targets").build(),
             contained_parts: meter.u64_gauge("contained_parts").build(),
             owned_domains: meter.u64_gauge("owned_domains").build(),
+            cut_off_services: meter.u64_gauge("cut_off_services").build(),
             store_era: meter.u64_gauge("store_era").build(),
             table_age: meter.f64_gauge("table_age").with_unit("s").build(),
             first_byte: latency_histogram("first_byte"),
@@ -134,6 +136,11 @@
         self.owned_domains.record(count as u64, &[]);
     }
 
+    /// Records from how many services this entry is cut off.
+    pub(crate) fn record_cut_off_services(&self, count: usize) {
+        self.cut_off_services.record(count as u64, &[]);
+    }
+
     /// Records the highest era of the store that this entry knows of.
     pub(crate) fn record_store_era(&self, era: Era) {
         self.store_era.record(era.0, &[]);
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -4,6 +4,7 @@
 mod era;
 mod history;
 mod ownership;
+mod path;
 mod peers;
 mod reach;
 mod state;
--- a/crates/cyclamen-gateway/src/node/peers.rs
+++ b/crates/cyclamen-gateway/src/node/peers.rs
@@ -23,7 +23,7 @@
     pub(crate) handover: Option<SocketAddr>,
     /// What it had no worker for, of the configured services and models.
     pub(crate) unserved: Arc<[Capability]>,
-    /// The services whose workers it did not reach although others did.
+    /// The services whose workers it did not reach.
     pub(crate) cut_off: Arc<[pool::Service]>,
 }
 
--- a/crates/cyclamen-gateway/src/node/reach.rs
+++ b/crates/cyclamen-gateway/src/node/reach.rs
@@ -91,9 +91,13 @@
             .collect()
     }
 
-    /// Returns whether this entry reaches no worker of a service although others do.
-    pub(crate) fn is_cut_off(&self, _now: Time, _service: &pool::Service) -> bool {
-        false
+    /// Returns the services whose workers this entry does not reach, for whatever reason.
+    pub(crate) fn lost(&self) -> Vec<pool::Service> {
+        let services = self.catalog.services().map(|service| &service.name);
+        services
+            .filter(|service| self.reach.is_lost(service))
+            .cloned()
+            .collect()
     }
 }
 
@@ -111,7 +115,7 @@
         handover.filter(|_| self.is_heard(now) && !lacks)
     }
 
-    fn is_heard(&self, now: Time) -> bool {
+    pub(super) fn is_heard(&self, now: Time) -> bool {
         let heard_at = self.knowledge.heard_at;
         heard_at.is_some_and(|at| now.since(at) < MAX_GOSSIP_AGE)
     }
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -10,7 +10,7 @@
 use cyclamen_dispatch::{Cell, Dispatcher, Position, RetryBudget, cell};
 use cyclamen_domain::Owner;
 use cyclamen_lease::Holder;
-use cyclamen_replica::Detector;
+use cyclamen_replica::{Detector, Reach};
 use cyclamen_route::containment::Part;
 use cyclamen_route::{Strikes, containment};
 use cyclamen_types::{Time, entry, instance, pool, zone};
@@ -54,6 +54,8 @@
     pub(crate) dispatcher: Dispatcher,
     /// The failure detector for workers.
     pub(crate) detector: Detector,
+    /// The paths of this entry to the workers of each service.
+    pub(crate) reach: Reach,
     /// Rows of the followed tables, to gossip to other entries.
     pub(crate) rows: Cache,
     /// The highest era of the store that this entry knows of.
@@ -112,6 +114,7 @@
             registry: Registry::default(),
             dispatcher: Dispatcher::new(cyclamen_dispatch::Options::default()),
             detector: Detector::default(),
+            reach: Reach::default(),
             rows: Cache::default(),
             era: Era::default(),
             recovery: None,
--- a/crates/cyclamen-gateway/src/node/suspicions.rs
+++ b/crates/cyclamen-gateway/src/node/suspicions.rs
@@ -68,6 +68,8 @@
     /// Records that the group that a target heads makes progress on a request: none of its members
     /// has failed, even if it does not respond to probes in time.
     pub(crate) fn record_progress(&mut self, now: Time, target: &Target) {
+        let change = self.reach.record_success(now, &target.service);
+        self.log_change(&target.service, change);
         let head = self.registry.get(&target.instance);
         let Some(group) = head.and_then(|head| head.instance.membership.clone()) else {
             return;
--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -6,6 +6,7 @@
 mod gossip;
 mod lease;
 mod ownership;
+mod paths;
 mod plan;
 mod probe;
 mod store;
@@ -57,5 +58,6 @@
 async fn expire(node: &Arc<Node>) {
     let now = node.now();
     node.state().remove_expired(now, node.platform.as_ref());
+    paths::judge(node);
     probe::reprobe(node);
 }
--- a/crates/cyclamen-gateway/src/tasks/gossip/message.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip/message.rs
@@ -97,6 +97,6 @@
         reached: state.detector.reached(now).cloned().collect(),
         handover: state.handover_address(),
         unserved: state.unserved(),
-        cut_off: state.cut_off(now),
+        cut_off: state.lost(),
     }
 }
--- a/crates/cyclamen-gateway/src/tasks/probe.rs
+++ b/crates/cyclamen-gateway/src/tasks/probe.rs
@@ -12,12 +12,12 @@
 use crate::node::{Node, State};
 use crate::settings::millis;
 use crate::tasks::gossip::SMALL_FLEET_PEERS;
-use crate::tasks::gossip_now;
+use crate::tasks::{gossip_now, paths};
 
 /// The number of probes in a row that a worker has to fail to become suspected.
 pub(super) const INITIAL_PROBES: u32 = 2;
 /// The number of probes in a row that a suspected worker has to fail to remain suspected.
-const REPEAT_PROBES: u32 = 1;
+pub(super) const REPEAT_PROBES: u32 = 1;
 /// The minimum interval between probes of the same group.
 const MIN_GROUP_PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// The maximum number of groups that an entry probes per second.
@@ -27,6 +27,7 @@
 ///
 /// A group that was probed a moment ago is not probed again.
 pub(crate) fn probe_group(node: &Arc<Node>, target: &Target) {
+    paths::check(node);
     let members = {
         let now = node.now();
         let mut state = node.state();
@@ -79,19 +80,23 @@
 }
 
 /// Probes a worker, and suspects it if every probe fails; returns whether it responds.
-async fn probe(node: &Arc<Node>, worker: &Instance, probes: u32) -> bool {
+pub(super) async fn probe(node: &Arc<Node>, worker: &Instance, probes: u32) -> bool {
     let start = Start::from(worker);
     let responds = if is_plain(&node.state(), worker) {
         accepts(node, worker.address, probes).await
     } else {
         responds(node, &start, worker.address, probes).await
     };
-    let now = node.now();
     if responds {
-        node.state().restore(now, &start);
+        paths::record_response(node, worker);
         return true;
     }
-    let is_new = node.state().suspect(now, &start);
+    let now = node.now();
+    let is_new = {
+        let mut state = node.state();
+        state.record_contact(now, &worker.service, &start, false);
+        state.suspect(now, &start)
+    };
     if is_new {
         gossip_now(node);
         node.wake_planner();
@@ -155,6 +160,10 @@
         let due = records.filter(|record| {
             let instance = &record.instance;
             if state.is_suspected(instance) {
+                if state.reach.cut_off_since(&instance.service).is_some() {
+                    // Checks of the path probe a few of them.
+                    return false;
+                }
                 let start = Start::from(instance.as_ref());
                 return state
                     .detector
--- a/crates/cyclamen-peer/src/message.rs
+++ b/crates/cyclamen-peer/src/message.rs
@@ -48,7 +48,7 @@
     pub handover: Option<SocketAddr>,
     /// What the sender has no worker for, of the configured services and models.
     pub unserved: Vec<Capability>,
-    /// The services whose workers the sender does not reach although others do.
+    /// The services whose workers the sender does not reach.
     pub cut_off: Vec<pool::Service>,
 }
 
--- a/crates/cyclamen-replica/src/lib.rs
+++ b/crates/cyclamen-replica/src/lib.rs
@@ -11,9 +11,11 @@
 mod groups;
 mod order;
 mod planner;
+mod reach;
 
 pub use counts::{GroupCounts, target_counts};
 pub use detector::{Detector, Start, Timing};
 pub use groups::{Group, Groups, State};
 pub use order::{CloseMode, Command, Order, Outcome};
 pub use planner::{Options, Planner, View, Worker, loading_domains};
+pub use reach::{Change, Reach};
--- a/crates/cyclamen-replica/tests/replica/main.rs
+++ b/crates/cyclamen-replica/tests/replica/main.rs
@@ -6,4 +6,5 @@
 mod detector;
 mod groups;
 mod loads;
+mod reach;
 mod simulation;
