fix: an entry without a path to workers neither tells suspicions nor sends orders

Change: while an entry is cut off from a service, it leaves the service's workers out of the suspicions that it gossips, and plans nothing for them. Failed before: peers::an_entry_that_is_cut_off_tells_no_suspicions_of_these_workers (three workers told) and links::an_owner_that_is_cut_off_sends_no_orders (one order to a new spare), each with its change taken out.

--- a/crates/cyclamen-gateway/src/node/suspicions.rs
+++ b/crates/cyclamen-gateway/src/node/suspicions.rs
@@ -65,6 +65,17 @@
         starts.take(MAX_LEAVING).collect()
     }
 
+    /// Returns the workers of which other entries are told that they failed probes of this entry.
+    /// While it is cut off from a service, that says nothing about the service's workers.
+    pub(crate) fn suspicions_to_gossip(&self, now: Time) -> Vec<Start> {
+        let cut_off = self.cut_off(now);
+        let suspicions = self.detector.local_suspicions(now).filter(|start| {
+            let worker = self.registry.get(&start.instance);
+            !worker.is_some_and(|worker| cut_off.contains(&worker.instance.service))
+        });
+        suspicions.cloned().collect()
+    }
+
     /// Records that the group that a target heads makes progress on a request: none of its members
     /// has failed, even if it does not respond to probes in time.
     pub(crate) fn record_progress(&mut self, now: Time, target: &Target) {
--- a/crates/cyclamen-gateway/src/tasks/gossip/message.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip/message.rs
@@ -93,7 +93,7 @@
         delta: Delta::default(),
         loads: state.dispatcher.loads(),
         leaving: state.leaving_to_gossip(now),
-        suspected: state.detector.local_suspicions(now).cloned().collect(),
+        suspected: state.suspicions_to_gossip(now),
         reached: state.detector.reached(now).cloned().collect(),
         handover: state.handover_address(),
         unserved: state.unserved(),
--- a/crates/cyclamen-gateway/src/tasks/plan.rs
+++ b/crates/cyclamen-gateway/src/tasks/plan.rs
@@ -41,6 +41,10 @@
     let catalog = state.catalog.clone();
     let mut commands = Vec::new();
     for service in catalog.services() {
+        if state.is_cut_off(now, &service.name) {
+            // What this entry sees of the workers is the loss of its own path.
+            continue;
+        }
         commands.extend(plan_service(state, now, service));
     }
     commands
