--- a/crates/cyclamen-gateway/src/frontend/way.rs
+++ b/crates/cyclamen-gateway/src/frontend/way.rs
@@ -5,6 +5,7 @@
 
 use cyclamen_dispatch::{Dispatch, Outcome};
 use cyclamen_http::{Error, StreamingResponse};
+use cyclamen_replica::Start;
 use cyclamen_types::{Time, instance};
 
 use crate::frontend::call::Call;
@@ -58,7 +59,11 @@
         last_event_id: Option<u64>,
     ) -> Result<StreamingResponse, SendError> {
         match self {
-            Self::Worker(dispatch) => Ok(send(call, dispatch, last_event_id).await?),
+            Self::Worker(dispatch) => {
+                let result = send(call, dispatch, last_event_id).await;
+                record_contact(call, dispatch, &result);
+                Ok(result?)
+            }
             Self::Entry(handover) => {
                 let mut response = send_to_entry(call, handover, last_event_id).await?;
                 match Reply::take(&mut response.headers) {
@@ -113,6 +118,22 @@
     }
 }
 
+/// Records whether a worker was reached over a new connection.
+fn record_contact(call: &Call, dispatch: &Dispatch, result: &Result<StreamingResponse, Error>) {
+    let is_reached = match result {
+        Ok(_) => true,
+        Err(Error::NotSent) => false,
+        Err(Error::Closed | Error::TimedOut | Error::Malformed) => return,
+    };
+    let worker = Start {
+        instance: dispatch.target.instance.clone(),
+        incarnation: dispatch.target.incarnation,
+    };
+    let now = call.node.now();
+    let mut state = call.node.state();
+    state.record_contact(now, call.service_name(), &worker, is_reached);
+}
+
 /// Writes the key and value that name the way in log lines.
 impl fmt::Display for Way {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -13,6 +13,7 @@
 mod updates;
 
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
 
 use cyclamen_http::Client;
 use cyclamen_peer::Peers;
@@ -31,6 +32,9 @@
 pub(crate) use targets::{Loss, TargetCount};
 pub(crate) use updates::{FOLLOWED_TABLES, Source};
 
+/// The timeout for connecting to workers and, to hand requests over, to other entries.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// The state of this entry, and its clients for calls to workers and to other entries.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
@@ -56,7 +60,9 @@
         let (planner_wake_tx, planner_wake_rx) = async_channel::bounded(1);
         Arc::new(Self {
             clock: Clock::start(),
-            http: Client::new(cyclamen_http::Options::default()),
+            http: Client::new(cyclamen_http::Options {
+                connect_timeout: CONNECT_TIMEOUT,
+            }),
             response_memory: Budget::new((settings.response_memory_mib as usize) << 20),
             state: Mutex::new(State::new(&settings)),
             peers: OnceLock::new(),
