--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -30,8 +30,6 @@
 pub struct Dispatcher {
     options: Options,
     workers: BTreeMap<WorkerKey, Worker>,
-    /// Workers that accept no requests now, but run some.
-    resting: BTreeMap<WorkerKey, Worker>,
     peers: BTreeMap<String, (Time, BTreeMap<WorkerKey, InProgress>)>,
     pauses: Pauses,
 }
@@ -42,17 +40,14 @@
         Self {
             options,
             workers: BTreeMap::new(),
-            resting: BTreeMap::new(),
             peers: BTreeMap::new(),
             pauses: Pauses::default(),
         }
     }
 
-    /// Replaces the workers that accept requests; the load of those that stay is kept, and that of
-    /// the others while they run requests.
+    /// Replaces the workers that accept requests; the load of those that stay is kept.
     pub fn refresh(&mut self, targets: impl IntoIterator<Item = Target>) {
         let mut before = std::mem::take(&mut self.workers);
-        before.append(&mut self.resting);
         for target in targets {
             let key = (target.instance.clone(), target.fence);
             let known = before.remove(&key);
@@ -68,8 +63,6 @@
             };
             self.workers.insert(key, worker);
         }
-        before.retain(|_, worker| worker.in_progress.running > 0);
-        self.resting = before;
     }
 
     /// Chooses a worker and counts the request on it.
@@ -169,7 +162,6 @@
         let target = &dispatch.target;
         let key = (target.instance.clone(), target.fence);
         let worker = self.workers.get_mut(&key);
-        let worker = worker.or_else(|| self.resting.get_mut(&key));
         worker.filter(|w| w.target.incarnation == target.incarnation)
     }
 
@@ -194,8 +186,10 @@
 
     /// Returns the requests that this entry has in progress, to be reported to other entries.
     pub fn loads(&self) -> Vec<Load> {
-        let workers = self.workers.iter().chain(&self.resting);
-        let busy = workers.filter(|(_, w)| w.in_progress.running > 0);
+        let busy = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.in_progress.running > 0);
         busy.map(|((instance, fence), worker)| Load {
             instance: instance.clone(),
             fence: *fence,
