fix: suspicions count as new once an entry reaches the workers again

Callers of other entries saw answers reset: as soon as an owner that had been cut off reached one worker, its other suspicions, which were of its own making, counted as failures, and it took groups apart that were serving.

The detector's test fails to compile without the new call; is_failed was true at once before.

--- a/crates/cyclamen-gateway/src/node/path.rs
+++ b/crates/cyclamen-gateway/src/node/path.rs
@@ -32,6 +32,9 @@
             }
             let change = self.reach.record_success(now, service);
             self.log_change(service, change);
+            if matches!(change, Some(Change::Reached(_))) {
+                self.renew_suspicions(now, service);
+            }
             return;
         }
         let record = self.registry.get(&worker.instance);
@@ -45,6 +48,16 @@
         }
     }
 
+    /// Makes the suspicions of a service's workers count as new.
+    fn renew_suspicions(&mut self, now: Time, service: &pool::Service) {
+        let registry = &self.registry;
+        let is_of_service = |start: &Start| {
+            let record = registry.get(&start.instance);
+            record.is_some_and(|record| record.instance.service == *service)
+        };
+        self.detector.renew_suspicions(now, is_of_service);
+    }
+
     /// Returns whether this entry reaches no worker of a service although others do.
     pub(crate) fn is_cut_off(&self, now: Time, service: &pool::Service) -> bool {
         self.reach.is_lost(service) && self.is_reached_by_others(now, service)
--- a/crates/cyclamen-replica/src/detector.rs
+++ b/crates/cyclamen-replica/src/detector.rs
@@ -212,6 +212,15 @@
         all
     }
 
+    /// Makes suspicions count as new, since this entry could not reach these workers whether or not
+    /// they had failed.
+    pub fn renew_suspicions(&mut self, now: Time, is_concerned: impl Fn(&Start) -> bool) {
+        let suspicions = self.local.iter_mut();
+        for (_, suspicion) in suspicions.filter(|(start, _)| is_concerned(start)) {
+            suspicion.since = now;
+        }
+    }
+
     /// Returns whether a worker is suspected and should get no new work.
     pub fn is_suspected(&self, start: &Start) -> bool {
         let probing = self.probing.get(start);
--- a/crates/cyclamen-replica/tests/replica/detector.rs
+++ b/crates/cyclamen-replica/tests/replica/detector.rs
@@ -285,3 +285,18 @@
         assert!(!one.is_failed(now, &worker), "at {now:?}");
     }
 }
+
+/// Guards against workers that count as failed as soon as an entry that had lost its path to them
+/// reaches one of them again.
+#[test]
+fn a_suspicion_of_an_entry_that_had_no_path_counts_as_new_when_the_path_is_back() {
+    let (concerned, other) = (start("v"), start("w"));
+    let mut detector = Detector::default();
+    detector.suspect(at(0), &concerned);
+    detector.suspect(at(0), &other);
+    detector.renew_suspicions(at(1_000), |start| *start == concerned);
+    assert!(detector.is_suspected(&concerned));
+    assert!(!detector.is_failed(at(1_001), &concerned));
+    assert!(detector.is_failed(at(1_001), &other));
+    assert!(detector.is_failed(at(1_600), &concerned));
+}
