--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -178,7 +178,6 @@
         Some(Handover {
             receiver,
             chosen_at: now,
-            tried: self.tried.as_slice().into(),
         })
     }
 
--- a/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to run a streaming request.
 
+use std::fmt;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -324,6 +325,16 @@
     }
 }
 
+/// Writes the name in log lines.
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused(refusal) => write!(f, "Refused({})", refusal.reason),
+            _ => write!(f, "{self:?}"),
+        }
+    }
+}
+
 impl From<SendError> for Failure {
     fn from(error: SendError) -> Self {
         match error {
--- a/crates/cyclamen-gateway/src/frontend/stream/relay.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay.rs
@@ -234,7 +234,7 @@
         let attempt = self.attempts.remove(index);
         let call = self.call().clone();
         log::info!(
-            "event=attempt_failed id={} {} cause={failure:?} after={:?} silent_ms={}",
+            "event=attempt_failed id={} {} cause={failure} after={:?} silent_ms={}",
             call.id,
             attempt.way,
             self.last_event_id,
