feat: an owner without a path to a domain's workers gives the domain up

Change: after one second of being cut off from a service of a domain, the owner deletes the domain's row, under the condition of its revision, and drops the planner; the lease stays. Entries that gossip a service in cut_off are passed over when a candidate takes over a domain with workers of it, unless all live candidates are, so the former owner does not take it back, and once the path is back the new owner lives and keeps it. A candidate that hears that an owner lacks a path reads the rows of domains (each 500 ms at most) and takes over as soon as the row is gone. A domain whose candidates all lack a path stays. The services of domains are collected only while some entry lacks a path, once a check, in one pass over the workers. Failed before, each with its part of the change taken out: links::domains_move_to_an_entry_that_reaches_their_workers_and_stay timed out without the giving up, and with candidates chosen regardless of their paths. links::domains_stay_if_no_entry_reaches_their_workers passes with and without; that candidates of a large fleet all lack a path while others have one is not tested.

--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -41,6 +41,7 @@
     tasks.extend([
         every!(node, LEASE_CHECK_INTERVAL, lease::step),
         every!(node, OWNERSHIP_CHECK_INTERVAL, ownership::step),
+        every!(node, OWNERSHIP_CHECK_INTERVAL, ownership::give_up),
         every!(node, EXPIRY_INTERVAL, expire),
         every!(node, EVIDENCE_INTERVAL, evidence::step),
         every!(
--- a/crates/cyclamen-gateway/src/tasks/ownership.rs
+++ b/crates/cyclamen-gateway/src/tasks/ownership.rs
@@ -1,4 +1,7 @@
-//! Takes over fabric domains that have no live owner.
+//! Takes over fabric domains that have no live owner, and gives up those out of reach.
+
+mod choice;
+mod give_up;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -13,8 +16,11 @@
 use crate::node::{Node, OwnerRow, State};
 use crate::platform::{Commit, Error, Snapshot, Table, Transaction};
 use crate::settings::millis;
+use crate::tasks::ownership::choice::Choice;
 use crate::tasks::{lease, store};
 
+pub(super) use give_up::step as give_up;
+
 /// The number of entries that are candidates for the ownership of a domain in a large fleet.
 const CANDIDATES_PER_DOMAIN: usize = 3;
 /// The maximum number of other entries at which every entry is a candidate for every domain.
@@ -66,7 +72,7 @@
     }
     update_candidates(&mut state);
     let silence = millis(node.settings.timing.peer_silence_ms);
-    let has_takeovers = !domains_to_take_over(&state, now, silence).is_empty();
+    let has_takeovers = !Choice::new(&state, now, silence).to_take_over().is_empty();
     let must_read = state.ownership.must_read_domains(now);
     let resumes = must_read && !state.ownership.formerly_owned.is_empty();
     state.ownership.needs_lease = has_takeovers || resumes;
@@ -89,35 +95,7 @@
         return Vec::new();
     }
     let silence = millis(node.settings.timing.peer_silence_ms);
-    domains_to_take_over(&state, now, silence)
-}
-
-/// Returns the domains that this entry should take over: its own ones that it does not plan, and
-/// those without a live owner for which it ranks before all other live candidates.
-fn domains_to_take_over(state: &State, now: Time, silence: Duration) -> Vec<domain::Name> {
-    let alive = |name: &entry::Name| {
-        let last_heard = state
-            .peers
-            .get(name)
-            .and_then(|peer| peer.knowledge.heard_at);
-        *name == state.local.entry || last_heard.is_some_and(|at| now.since(at) < silence)
-    };
-    let is_unowned = |name: &domain::Name| {
-        let row = state.ownership.owner_rows.get(name);
-        !row.is_some_and(|row| alive(&row.owner.entry) && !is_former_incarnation(state, &row.owner))
-    };
-    let is_first = |candidates: &[entry::Name]| {
-        candidates.iter().find(|entry| alive(entry)) == Some(&state.local.entry)
-    };
-    let ownership = &state.ownership;
-    let allowed = ownership.allows_takeovers(now);
-    let domains = ownership.candidates.iter();
-    let to_take_over = domains.filter(|(name, candidates)| {
-        let is_own = ownership.is_owner(now, name, &state.local);
-        let is_free = allowed && is_first(candidates) && is_unowned(name);
-        !ownership.planners.contains_key(*name) && (is_own || is_free)
-    });
-    to_take_over.map(|(name, _)| name.clone()).collect()
+    Choice::new(&state, now, silence).to_take_over()
 }
 
 /// Returns the fabric domains whose workers form replica groups.
@@ -160,15 +138,6 @@
     fellows
 }
 
-/// Returns whether an owner is a former incarnation of an entry that has restarted.
-fn is_former_incarnation(state: &State, owner: &Owner) -> bool {
-    if owner.entry == state.local.entry {
-        return owner.incarnation != state.local.incarnation;
-    }
-    let peer = state.peers.get(&owner.entry);
-    peer.is_some_and(|peer| peer.incarnation != owner.incarnation)
-}
-
 /// Reads the rows of all domains and records their owners.
 pub(super) async fn read_owners(node: &Node) -> Result<(), Error> {
     let snapshot = store::read(node, Table::Domains).await?;
--- a/crates/cyclamen-replica/src/reach.rs
+++ b/crates/cyclamen-replica/src/reach.rs
@@ -124,6 +124,11 @@
         self.paths.get(service).is_some_and(|path| path.is_lost)
     }
 
+    /// Returns whether this entry reaches no worker of some service.
+    pub fn has_lost(&self) -> bool {
+        self.paths.values().any(|path| path.is_lost)
+    }
+
     /// Returns since when this entry has been cut off from a service; `None` if it is not.
     pub fn cut_off_since(&self, service: &pool::Service) -> Option<Time> {
         self.paths.get(service)?.cut_off_since
