fix: a hop adds no Server header to the worker's response

Cause: the listener for handovers is an HTTP server of its own and puts its Server header before those of the worker. Change: it is removed there.

--- a/crates/cyclamen-gateway/src/frontend/handover.rs
+++ b/crates/cyclamen-gateway/src/frontend/handover.rs
@@ -5,7 +5,7 @@
 
 use cyclamen_directory::route::Priority;
 use cyclamen_directory::{Route, Team};
-use trillium::{Conn, Handler, Headers};
+use trillium::{Conn, Handler, Headers, KnownHeaderName};
 
 use crate::frontend::call::{Call, Prompt};
 use crate::frontend::refusal::Refusal;
@@ -24,6 +24,8 @@
 
 impl Handler for Receiver {
     async fn run(&self, mut conn: Conn) -> Conn {
+        // The response is the worker's, to which the sender adds its own.
+        conn.response_headers_mut().remove(KnownHeaderName::Server);
         match receive(&self.0, &mut conn).await {
             Ok(()) => with_reply(conn, Reply::Answered).halt(),
             Err(refusal) => with_reply(refusal.respond(conn), refusal.reply()),
