fix: a drain awaits the requests that were handed over

Cause: the drain awaited the callers' listener only; the listener for handovers was told to shut down and not awaited, so the process exited in the middle of relayed responses. Change: both are awaited until the drain limit.

--- a/crates/cyclamen-gateway/src/run.rs
+++ b/crates/cyclamen-gateway/src/run.rs
@@ -41,7 +41,9 @@
     node: Arc<Node>,
     tasks: Vec<smol::Task<()>>,
     caller_server: ServerHandle,
-    /// The servers of readiness checks, metrics and requests that are handed over.
+    /// The server of requests that are handed over.
+    handover_server: Option<ServerHandle>,
+    /// The servers of readiness checks and metrics.
     internal_servers: Vec<ServerHandle>,
 }
 
@@ -75,7 +77,8 @@
     Ok(Handle {
         tasks: tasks::start(&node),
         caller_server: serve(caller_listener, frontend::Proxy(node.clone())),
-        internal_servers: servers.into_iter().chain(handover_server).collect(),
+        handover_server,
+        internal_servers: servers.into(),
         node,
     })
 }
@@ -138,13 +141,18 @@
         log::info!("event=stopped requests_cut={remaining} all_sent={all_sent}");
     }
 
-    /// Accepts no more requests and waits until the callers' connections are closed, each after its
-    /// last response; returns whether all of them were by a point in time.
+    /// Accepts no more requests and waits until the connections of callers, and of entries that hand
+    /// requests over, are closed, each after its last response; returns whether all of them were by a
+    /// point in time.
     ///
     /// A request ends before its caller has received the whole response.
     async fn close_connections(&self, limit: Time) -> bool {
         let closing = async {
+            let handovers = self.handover_server.as_ref().map(ServerHandle::shut_down);
             self.caller_server.shut_down().await;
+            if let Some(handovers) = handovers {
+                handovers.await;
+            }
             true
         };
         let timeout = async {
