fix: a worker that another entry suspects is the last choice while it is probed

Callers of the other entries got requests sent into a group whose member had just died: since a suspicion told by an entry that may have lost its path no longer took a worker out, the others went on to send there until their own probes failed. Now such a worker is doubtful: others are preferred, and it still gets requests if there is none.

--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -16,8 +16,8 @@
 use rejections::Rejections;
 use worker::{InProgress, Worker};
 
-/// Additional cost of a worker that recently failed or shed a request, in multiples of the latency
-/// goal.
+/// Additional cost of a worker that may have failed, or recently failed or shed a request, in
+/// multiples of the latency goal.
 const FAILURE_COST: f64 = 2.0;
 /// Upper bound of the random cost that breaks ties, in multiples of the latency goal.
 const TIE_BREAK_COST: f64 = 0.02;
@@ -270,7 +270,11 @@
         let failed = worker
             .last_failure
             .is_some_and(|at| now.since(at) < self.failure_cooldown);
-        let failure = if failed { FAILURE_COST } else { 0.0 };
+        let failure = if failed || target.doubtful {
+            FAILURE_COST
+        } else {
+            0.0
+        };
         wait.as_secs_f64() / goal + locality + failure
     }
 }
--- a/crates/cyclamen-dispatch/src/request.rs
+++ b/crates/cyclamen-dispatch/src/request.rs
@@ -34,6 +34,8 @@
     pub cold: Option<(Time, f64)>,
     /// Its speed, if it runs a model.
     pub forecast: Option<Forecast>,
+    /// Whether it may have failed, so that others are preferred.
+    pub doubtful: bool,
 }
 
 /// Selection criteria of a request.
--- a/crates/cyclamen-dispatch/tests/dispatch.rs
+++ b/crates/cyclamen-dispatch/tests/dispatch.rs
@@ -58,6 +58,7 @@
         domain: Some("d0".parse().unwrap()),
         slots: engine.slots,
         cold: None,
+        doubtful: false,
         forecast: Some(Forecast::of(&engine, &engine.models[0])),
     }
 }
@@ -452,3 +453,20 @@
             .is_ok()
     );
 }
+
+/// Guards against requests that are sent to a worker that may have failed while others are free, or
+/// refused although it is the only one.
+#[test]
+fn a_doubtful_worker_is_the_last_choice() {
+    let doubtful = Target {
+        doubtful: true,
+        ..head("h1", "a")
+    };
+    let mut both = dispatcher([doubtful.clone(), head("h2", "b")]);
+    for _ in 0..5 {
+        let chosen = choose(&mut both, &Request::new()).unwrap();
+        assert_eq!(chosen.target.instance.as_str(), "h2");
+    }
+    let mut alone = dispatcher([doubtful]);
+    assert!(choose(&mut alone, &Request::new()).is_ok());
+}
--- a/crates/cyclamen-gateway/src/node/suspicions.rs
+++ b/crates/cyclamen-gateway/src/node/suspicions.rs
@@ -32,12 +32,16 @@
 
     /// Records that a worker responded to a probe.
     pub(crate) fn restore(&mut self, now: Time, start: &Start) {
-        if self.detector.restore(now, start) {
+        let was_doubted = self.detector.is_doubted(start);
+        let was_suspected = self.detector.restore(now, start);
+        if was_suspected {
             log::info!(
                 "event=instance_restored instance={} incarnation={}",
                 start.instance,
                 start.incarnation
             );
+        }
+        if was_suspected || was_doubted {
             self.refresh_targets(now);
         }
     }
@@ -127,4 +131,9 @@
     pub(crate) fn is_suspected(&self, instance: &Instance) -> bool {
         self.detector.is_suspected(&Start::from(instance))
     }
+
+    /// Returns whether another entry suspects a worker that this entry is probing now.
+    pub(crate) fn is_doubted(&self, instance: &Instance) -> bool {
+        self.detector.is_doubted(&Start::from(instance))
+    }
 }
--- a/crates/cyclamen-gateway/src/node/targets.rs
+++ b/crates/cyclamen-gateway/src/node/targets.rs
@@ -116,7 +116,7 @@
     fn group_targets(&self, now: Time, service: &Service, engine: &Engine) -> Vec<Target> {
         let groups = self.groups(service);
         let serving = groups.iter().filter(|group| {
-            let state = group.state(engine, |m| self.is_suspected(m));
+            let state = group.state(engine, |m| self.has_failed_probes(m));
             let is_leaving = |m: &Arc<Instance>| m.status == Status::Leaving;
             state == GroupState::Serving && !group.members.values().any(is_leaving)
         });
@@ -129,6 +129,7 @@
                     model: Some(model.name.clone()),
                     forecast: Some(Forecast::of(engine, model)),
                     slots: engine.slots,
+                    doubtful: group.members.values().any(|m| self.is_doubted(m)),
                     ..target
                 })
             })
@@ -138,7 +139,7 @@
     fn plain_targets(&self, now: Time, service: &Service) -> Vec<Target> {
         let workers = self.registry.records();
         let of_service = workers.filter(|record| record.instance.service == service.name);
-        let responsive = of_service.filter(|record| !self.is_suspected(&record.instance));
+        let responsive = of_service.filter(|record| !self.has_failed_probes(&record.instance));
         responsive
             .filter_map(|record| self.target(now, service, record, group::Fence::default()))
             .collect()
@@ -170,6 +171,7 @@
             domain: instance.domain.clone(),
             slots: instance.slots,
             cold: cold.map(|per_second| (now + cold_for, per_second)),
+            doubtful: self.is_doubted(instance),
         })
     }
 }
--- a/crates/cyclamen-replica/src/detector.rs
+++ b/crates/cyclamen-replica/src/detector.rs
@@ -227,6 +227,11 @@
         self.local.contains_key(start) || probing.is_some_and(|probing| probing.is_suspected)
     }
 
+    /// Returns whether another entry suspects a worker that this entry is probing now.
+    pub fn is_doubted(&self, start: &Start) -> bool {
+        self.probing.contains_key(start)
+    }
+
     /// Returns whether a worker failed probes of this entry and has not responded since.
     pub fn has_failed_probes(&self, start: &Start) -> bool {
         self.local.contains_key(start)
