fix: marks of a hop that a caller forges end at the entry

Cause: a caller's end-to-end headers go to the worker, and those of the hop were among them. They had no effect at the entry. Change: they are removed from a caller's request.

--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -12,6 +12,7 @@
 use crate::frontend::check::{Checked, check, read_body, record_refused_head};
 use crate::frontend::refusal::Refusal;
 use crate::frontend::way::{Handover, Way};
+use crate::handover::INTERNAL_HEADERS;
 use crate::node::Node;
 use crate::platform::Table;
 use crate::tasks;
@@ -67,6 +68,7 @@
             dialect.urgency,
         ]);
         headers.remove(KnownHeaderName::Authorization);
+        headers.remove_all(INTERNAL_HEADERS);
         let call = Call {
             node: node.clone(),
             id,
--- a/crates/cyclamen-gateway/src/handover.rs
+++ b/crates/cyclamen-gateway/src/handover.rs
@@ -20,6 +20,9 @@
 /// The header with the reply, in JSON.
 const REPLY_HEADER: &str = "Cyclamen-Reply";
 
+/// The headers of a request or response that go from entry to entry only.
+pub(crate) const INTERNAL_HEADERS: [&str; 3] = [SECRET_HEADER, ENVELOPE_HEADER, REPLY_HEADER];
+
 /// What the receiver of a request has to know besides what the caller sent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Envelope {
