fix: an entry says that it did not send a request that it finds invalid

Cause: the reply was made from the refusal alone, and one without a retry delay counted as unknown, also for a body beyond the receiver's limit, which no worker gets; its caller got 502. Change: what fails before a worker is chosen is replied to as refused.

--- a/crates/cyclamen-gateway/src/frontend/handover.rs
+++ b/crates/cyclamen-gateway/src/frontend/handover.rs
@@ -26,7 +26,11 @@
     async fn run(&self, mut conn: Conn) -> Conn {
         // The response is the worker's, to which the sender adds its own.
         conn.response_headers_mut().remove(KnownHeaderName::Server);
-        match receive(&self.0, &mut conn).await {
+        let request = match receive(&self.0, &mut conn).await {
+            Ok(request) => request,
+            Err(refusal) => return with_reply(refusal.respond(conn), refusal.reply_unsent()),
+        };
+        match run(request, &mut conn).await {
             Ok(()) => with_reply(conn, Reply::Answered).halt(),
             Err(refusal) => with_reply(refusal.respond(conn), refusal.reply()),
         }
@@ -38,7 +42,8 @@
     conn
 }
 
-async fn receive(node: &Arc<Node>, conn: &mut Conn) -> Result<(), Refusal> {
+/// Reads a request, which no worker gets if this fails.
+async fn receive(node: &Arc<Node>, conn: &mut Conn) -> Result<Request, Refusal> {
     let mut headers = cyclamen_relay::end_to_end(conn.request_headers());
     let envelope = Envelope::take(node.settings.peer_secret.reveal(), &mut headers);
     let envelope = envelope.ok_or(Refusal::invalid(403, "no_envelope"))?;
@@ -48,7 +53,7 @@
     let limit = node.state().catalog.limits().body_bytes;
     let mut request = Request::new(call(node, conn, envelope, headers)?);
     request.read_body(conn, limit).await?;
-    run(request, conn).await
+    Ok(request)
 }
 
 /// Returns the request as it is sent to a worker.
--- a/crates/cyclamen-gateway/src/frontend/refusal.rs
+++ b/crates/cyclamen-gateway/src/frontend/refusal.rs
@@ -11,6 +11,9 @@
 /// The retry delay sent to callers when the entry may not retry a request again.
 const RETRIES_SPENT_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// The retry delay sent to entries whose requests this one finds invalid.
+const INVALID_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// An error response to a caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Refusal {
@@ -61,11 +64,16 @@
     pub(crate) fn reply(self) -> Reply {
         match self.retry_after {
             Some(_) if self.was_sent => Reply::NotRun,
-            Some(retry_after) => Reply::Refused(as_millis(retry_after)),
+            Some(_) => self.reply_unsent(),
             None => Reply::Unknown,
         }
     }
 
+    /// Returns the same for a request that was not sent to any worker.
+    pub(crate) fn reply_unsent(self) -> Reply {
+        Reply::Refused(as_millis(self.retry_after.unwrap_or(INVALID_RETRY_DELAY)))
+    }
+
     /// A request that arrived before the entry had a configuration.
     pub(crate) fn unconfigured() -> Self {
         Self::retry_later("unconfigured", UNCONFIGURED_RETRY_DELAY)
