fix: an entry prefers workers that a request handed over has not been sent to

Cause: the envelope names the workers that the sender chose, and the receiver did not use it. Change: the receiver chooses another worker if there is one, else any, since the sender may have lost its path to those that it names.

--- a/crates/cyclamen-gateway/src/frontend/handover.rs
+++ b/crates/cyclamen-gateway/src/frontend/handover.rs
@@ -51,7 +51,9 @@
         return Err(Refusal::retry_later("busy", BUSY_RETRY_DELAY));
     }
     let limit = node.state().catalog.limits().body_bytes;
+    let avoided = envelope.tried.clone();
     let mut request = Request::new(call(node, conn, envelope, headers)?);
+    request.avoided = avoided;
     request.read_body(conn, limit).await?;
     Ok(request)
 }
--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use cyclamen_dispatch::Reason;
+use cyclamen_dispatch::{Dispatch, Reason};
 use cyclamen_types::{Time, entry, instance};
 use rand::Rng;
 use trillium::{Conn, KnownHeaderName};
@@ -33,6 +33,9 @@
     pub(crate) call: Arc<Call>,
     /// Workers that were chosen for the request by this entry.
     pub(crate) tried: Vec<instance::Id>,
+    /// Workers that the entry that handed the request over chose, which get it only if there is no
+    /// other: that entry may have lost its path to them.
+    pub(super) avoided: Vec<instance::Id>,
     /// Entries to which the request was handed over.
     tried_entries: Vec<entry::Name>,
     /// Whether a worker may have run the request.
@@ -111,6 +114,7 @@
         Self {
             call: Arc::new(call),
             tried: Vec::new(),
+            avoided: Vec::new(),
             tried_entries: Vec::new(),
             may_have_run: false,
             sent: 0,
@@ -151,7 +155,7 @@
             let handover = self.hand_over(now, "not_connected").map(Way::Entry);
             return handover.ok_or(Refusal::retry_later("not_connected", CONNECT_RETRY_DELAY));
         }
-        match call.choose_worker(&self.tried) {
+        match self.choose_worker() {
             Ok(dispatch) => Ok(Way::Worker(dispatch)),
             Err(refusal) if refusal.reason == Reason::NoWorker.as_str() => {
                 let handover = self.hand_over(now, refusal.reason).map(Way::Entry);
@@ -161,6 +165,18 @@
         }
     }
 
+    fn choose_worker(&self) -> Result<Dispatch, Refusal> {
+        let exclude = [&self.tried[..], &self.avoided].concat();
+        match self.call.choose_worker(&exclude) {
+            Err(refusal)
+                if refusal.reason == Reason::NoWorker.as_str() && !self.avoided.is_empty() =>
+            {
+                self.call.choose_worker(&self.tried)
+            }
+            result => result,
+        }
+    }
+
     /// Chooses an entry that reaches workers for the request, unless it was handed over itself.
     fn hand_over(&self, now: Time, reason: &'static str) -> Option<Handover> {
         let call = &self.call;
