--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -196,6 +196,7 @@
         Some(Handover {
             receiver,
             chosen_at: now,
+            tried: self.tried.as_slice().into(),
         })
     }
 
--- a/crates/cyclamen-gateway/src/frontend/send.rs
+++ b/crates/cyclamen-gateway/src/frontend/send.rs
@@ -40,7 +40,7 @@
     let url = format!("http://{}{}", handover.receiver.address, call.path);
     let mut headers = call.headers.clone();
     insert_last_event_id(call, last_event_id, &mut headers);
-    envelope(call).write(node.settings.peer_secret.reveal(), &mut headers);
+    envelope(call, handover).write(node.settings.peer_secret.reveal(), &mut headers);
     let outbound = cyclamen_http::Request {
         method: call.method,
         url: &url,
@@ -51,7 +51,7 @@
     node.http.call_streaming(outbound).await
 }
 
-fn envelope(call: &Call) -> Envelope {
+fn envelope(call: &Call, handover: &Handover) -> Envelope {
     let now = call.node.now();
     Envelope {
         sender: call.node.settings.name.clone(),
@@ -64,6 +64,7 @@
         goal_ms: as_millis(call.route.goal),
         waited_ms: as_millis(call.waited(now)),
         remaining_ms: as_millis(call.remaining()),
+        tried: handover.tried.to_vec(),
     }
 }
 
--- a/crates/cyclamen-gateway/src/frontend/way.rs
+++ b/crates/cyclamen-gateway/src/frontend/way.rs
@@ -1,11 +1,12 @@
 //! The ways by which a request gets to a worker.
 
 use std::fmt;
+use std::sync::Arc;
 
 use cyclamen_dispatch::{Dispatch, Outcome};
 use cyclamen_http::{Error, StreamingResponse};
 use cyclamen_replica::Start;
-use cyclamen_types::Time;
+use cyclamen_types::{Time, instance};
 
 use crate::frontend::call::Call;
 use crate::frontend::refusal::Refusal;
@@ -27,6 +28,8 @@
 pub(crate) struct Handover {
     pub(crate) receiver: Receiver,
     pub(crate) chosen_at: Time,
+    /// Workers that this entry chose for the request before.
+    pub(crate) tried: Arc<[instance::Id]>,
 }
 
 /// Why a request got no response head.
--- a/crates/cyclamen-gateway/src/handover.rs
+++ b/crates/cyclamen-gateway/src/handover.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use cyclamen_directory::route::Repeat;
-use cyclamen_types::{entry, pool, route, team};
+use cyclamen_types::{entry, instance, pool, route, team};
 use serde::{Deserialize, Serialize};
 use subtle::ConstantTimeEq;
 use trillium::Headers;
@@ -41,6 +41,8 @@
     pub(crate) waited_ms: u64,
     /// The time left until the deadline, in milliseconds.
     pub(crate) remaining_ms: u64,
+    /// Workers that the sender chose before; it may only have lost its path to them.
+    pub(crate) tried: Vec<instance::Id>,
 }
 
 /// Whether and how a request may be retried, see [`Repeat`].
