fix: a check of the path to a service raises no suspicion of a worker

If an entry is late itself, one failed probe starts six more, which fail too and would take workers from the targets that no request has found silent. Change: a failed probe of a check counts for the path only; it confirms the suspicion of a worker that is suspected already and raises none.

--- a/crates/cyclamen-gateway/src/tasks/paths.rs
+++ b/crates/cyclamen-gateway/src/tasks/paths.rs
@@ -6,7 +6,7 @@
 use cyclamen_replica::Start;
 
 use crate::node::{Node, State};
-use crate::tasks::probe::{INITIAL_PROBES, REPEAT_PROBES, probe, probe_worker};
+use crate::tasks::probe::{INITIAL_PROBES, REPEAT_PROBES, probe, probe_worker, suspect};
 
 /// The maximum number of workers that are probed at once when the path to them is back.
 const MAX_PROBES_AT_RETURN: usize = 64;
@@ -29,14 +29,27 @@
         let node = node.clone();
         let checking = async move {
             if !probe(&node, &worker, probes).await {
-                let now = node.now();
-                node.state().record_failed_check(now, &worker.service);
+                record_failed_check(&node, &worker);
             }
         };
         smol::spawn(checking).detach();
     }
 }
 
+/// Records that a probe that checks a path has failed. It confirms the suspicion of a worker, but
+/// raises none of one that no request has found silent: the cause may be this entry.
+fn record_failed_check(node: &Arc<Node>, worker: &Instance) {
+    let is_suspected = {
+        let now = node.now();
+        let mut state = node.state();
+        state.record_failed_check(now, &worker.service);
+        state.has_failed_probes(worker)
+    };
+    if is_suspected {
+        suspect(node, worker);
+    }
+}
+
 /// Returns the workers to probe now, and how often.
 fn workers_to_probe(node: &Node) -> Vec<(Arc<Instance>, u32)> {
     let now = node.now();
--- a/crates/cyclamen-gateway/src/tasks/probe.rs
+++ b/crates/cyclamen-gateway/src/tasks/probe.rs
@@ -74,12 +74,24 @@
 pub(super) fn probe_worker(node: &Arc<Node>, worker: Arc<Instance>, probes: u32) {
     let node = node.clone();
     let probing = async move {
-        probe(&node, &worker, probes).await;
+        if !probe(&node, &worker, probes).await {
+            suspect(&node, &worker);
+        }
     };
     smol::spawn(probing).detach();
 }
 
-/// Probes a worker, and suspects it if every probe fails; returns whether it responds.
+/// Suspects a worker that failed its probes, and tells other entries.
+pub(super) fn suspect(node: &Arc<Node>, worker: &Instance) {
+    let now = node.now();
+    let is_new = node.state().suspect(now, &Start::from(worker));
+    if is_new {
+        gossip_now(node);
+        node.wake_planner();
+    }
+}
+
+/// Probes a worker and records whether it was reached; returns whether it responds.
 pub(super) async fn probe(node: &Arc<Node>, worker: &Instance, probes: u32) -> bool {
     let start = Start::from(worker);
     let responds = if is_plain(&node.state(), worker) {
@@ -89,19 +101,12 @@
     };
     if responds {
         paths::record_response(node, worker);
-        return true;
-    }
-    let now = node.now();
-    let is_new = {
+    } else {
+        let now = node.now();
         let mut state = node.state();
         state.record_contact(now, &worker.service, &start, false);
-        state.suspect(now, &start)
-    };
-    if is_new {
-        gossip_now(node);
-        node.wake_planner();
     }
-    false
+    responds
 }
 
 /// Returns whether a worker belongs to a service without models.
