--- a/crates/cyclamen-gateway/src/frontend/stream.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream.rs
@@ -1,6 +1,7 @@
 //! Event streams, which are resumed on another worker if one fails.
 
 mod attempt;
+mod failure;
 mod relay;
 
 use std::io;
--- a/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
@@ -1,7 +1,5 @@
 //! One attempt to run a streaming request.
 
-use std::fmt;
-use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,8 +13,8 @@
 use trillium::Headers;
 
 use crate::frontend::call::Call;
-use crate::frontend::refusal::Refusal;
 use crate::frontend::response::{Class, classify, is_success, record_notices};
+use crate::frontend::stream::failure::{Break, Failure};
 use crate::frontend::way::{SendError, Way};
 use crate::node::Loss;
 use crate::tasks;
@@ -41,36 +39,6 @@
     End,
 }
 
-/// How a connection on which a worker streamed came to an end.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Break {
-    /// Reading failed with an error of this kind.
-    Failed(io::ErrorKind),
-    /// The body ended within an event or before the first one.
-    EndedEarly,
-    /// An event is too large.
-    TooLarge,
-}
-
-/// Why an attempt ended without a complete response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Failure {
-    /// No connection was made.
-    NotSent,
-    /// The other entry did not send the request to a worker.
-    Refused(Refusal),
-    /// The worker did not run the request.
-    NotRun,
-    /// The worker closed the connection before the response head.
-    Closed,
-    /// No usable response head was received; the request may have run.
-    Unknown,
-    /// The worker failed the request.
-    Failed,
-    /// The response broke off.
-    Broken(Break),
-}
-
 /// A response that a worker has begun.
 struct Response {
     inner: StreamingResponse,
@@ -324,25 +292,3 @@
         self.record_outcome(Outcome::Cancelled);
     }
 }
-
-/// Writes the name in log lines.
-impl fmt::Display for Failure {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Refused(refusal) => write!(f, "Refused({})", refusal.reason),
-            _ => write!(f, "{self:?}"),
-        }
-    }
-}
-
-impl From<SendError> for Failure {
-    fn from(error: SendError) -> Self {
-        match error {
-            SendError::NotSent => Self::NotSent,
-            SendError::Refused(refusal) => Self::Refused(refusal),
-            SendError::NotRun => Self::NotRun,
-            SendError::Closed => Self::Closed,
-            SendError::TimedOut | SendError::Unknown => Self::Unknown,
-        }
-    }
-}
--- a/crates/cyclamen-gateway/src/frontend/stream/relay.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay.rs
@@ -1,5 +1,7 @@
 //! Runs a streaming request on one worker after another until the response is complete.
 
+mod silence;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,16 +15,13 @@
 use crate::frontend::call::Call;
 use crate::frontend::refusal::Refusal;
 use crate::frontend::request::Request;
-use crate::frontend::stream::attempt::{Attempt, Failure, Part};
+use crate::frontend::stream::attempt::{Attempt, Part};
+use crate::frontend::stream::failure::Failure;
 use crate::frontend::way::Way;
-use crate::node::Loss;
-use crate::settings::millis;
 use crate::tasks;
 
 /// The interval at which the group of a silent worker is checked.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(40);
-/// The interval between searches for a worker that replaces a silent one.
-const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(250);
 /// The retry delay sent to callers when no worker accepted their stream.
 const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -135,21 +134,6 @@
         or(first, check).await
     }
 
-    /// Logs how long each worker was silent when the deadline passed.
-    fn log_deadline(&self) {
-        let call = self.call();
-        let now = call.node.now();
-        for attempt in &self.attempts {
-            log::info!(
-                "event=attempt_failed id={} {} cause=Deadline after={:?} silent_ms={}",
-                call.id,
-                attempt.way,
-                self.last_event_id,
-                now.since(attempt.last_event_at).as_millis()
-            );
-        }
-    }
-
     /// Sends the request to another worker, which costs a retry unless it is the first one or the
     /// one before was not reached.
     fn start_attempt(&mut self) -> Result<(), Refusal> {
@@ -301,55 +285,6 @@
             tasks::probe_group(&call.node, &dispatch.target);
         }
     }
-
-    /// Probes the groups of silent workers, and seeks a replacement if each group that runs the
-    /// request may have lost a member.
-    fn check_silence(&mut self) {
-        let call = self.call().clone();
-        let now = call.node.now();
-        let mut losses = Vec::new();
-        for attempt in &self.attempts {
-            let silent = now.since(attempt.last_event_at);
-            if silent < millis(call.node.settings.timing.stall_ms) {
-                continue;
-            }
-            match attempt.loss(now, silent) {
-                Some(loss) if call.is_resumable() => losses.push(loss),
-                _ => attempt.probe(silent),
-            }
-        }
-        let is_lost = losses.len() == self.attempts.len();
-        if let Some(loss) = losses.first().filter(|_| is_lost) {
-            self.seek_replacement(now, *loss);
-        }
-    }
-
-    /// Sends the request to another worker besides the silent ones, if a retry and a worker are to
-    /// be had.
-    fn seek_replacement(&mut self, now: Time, loss: Loss) {
-        let sought_at = self.replacement_sought_at;
-        let is_recent = sought_at.is_some_and(|at| now.since(at) < REPLACEMENT_INTERVAL);
-        if is_recent {
-            return;
-        }
-        self.replacement_sought_at = Some(now);
-        let result = match self.start_attempt() {
-            Ok(()) => "started",
-            Err(refusal) => refusal.reason,
-        };
-        let Some(silent) = self.attempts.first() else {
-            return;
-        };
-        log::info!(
-            "event=replacement_sought id={} {} loss={} after={:?} silent_ms={} \
-             result={result}",
-            self.call().id,
-            silent.way,
-            loss.as_str(),
-            self.last_event_id,
-            now.since(silent.last_event_at).as_millis()
-        );
-    }
 }
 
 /// Returns the refusal of a request whose last attempt failed and that may not be sent again.
