fix: see that the caller of a silent stream has left

Cause: while a worker is silent nothing is written to its caller, and only a write shows that the caller has closed its connection. A closed caller and one that closed only its writing side both show as a FIN until something is sent.

Urgent data was not tried.

Change: once the caller's FIN is there, and the last chunk is flushed, one leading zero of the next chunk's size is sent, which RFC 9112 allows and which is no byte of the body. A closed caller resets the connection, which the next check sees. Before a break-off a 1 follows, so that the zero does not look like a last chunk. HTTP/1.0 and HTTP/2 are as before, except for resets of HTTP/1.0 callers.

No test fails without the check that all is flushed. A caller that half-closes, gets the zero and later closes in the same silence is not seen.

--- a/crates/cyclamen-gateway/src/frontend/stream.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream.rs
@@ -8,6 +8,7 @@
 use futures::{TryStreamExt, stream};
 use trillium::{Body, Conn};
 
+use crate::caller::Caller;
 use crate::frontend::refusal::Refusal;
 use crate::frontend::request::Request;
 use crate::frontend::stream::attempt::Part;
@@ -32,6 +33,7 @@
     } = head.map_err(|refusal| relay.request.record_refusal(refusal))?;
     conn.set_status(status);
     conn.response_headers_mut().append_all(headers);
+    relay.caller = Caller::take(conn);
     let rest = stream::try_unfold((relay, Some(part)), next_part);
     let body = rest.into_async_read();
     conn.set_body(Body::new_streaming(body, None));
@@ -57,6 +59,9 @@
 async fn next(relay: &mut Relay) -> io::Result<Part> {
     relay.next().await.map_err(|refusal| {
         relay.request.record_refusal(refusal);
+        if let Some(caller) = &relay.caller {
+            caller.break_off();
+        }
         io::ErrorKind::ConnectionAborted.into()
     })
 }
--- a/crates/cyclamen-gateway/src/frontend/stream/relay.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay.rs
@@ -10,6 +10,7 @@
 use smol::future::or;
 use trillium::Headers;
 
+use crate::caller::Caller;
 use crate::frontend::call::Call;
 use crate::frontend::refusal::Refusal;
 use crate::frontend::request::Request;
@@ -43,6 +44,8 @@
 /// cancelled. No more workers run it at a time than its route allows attempts.
 pub(super) struct Relay {
     pub(super) request: Request,
+    /// The caller, once it receives the response.
+    pub(super) caller: Option<Caller>,
     /// The workers that run the request, the first one first.
     attempts: Vec<Attempt>,
     /// The id of the last event that the caller received.
@@ -67,6 +70,7 @@
     pub(super) fn new(request: Request, last_event_id: Option<u64>) -> Self {
         Self {
             request,
+            caller: None,
             attempts: Vec::new(),
             last_event_id,
             has_head: false,
@@ -114,11 +118,20 @@
                     self.log_deadline();
                     return Err(Refusal::deadline_exceeded());
                 }
+                Event::Check if self.is_caller_gone() => {
+                    self.request.finish("caller_gone", 0, None);
+                    return Err(Refusal::failed("caller_gone"));
+                }
                 Event::Check => self.check_silence(),
             }
         }
     }
 
+    /// Returns whether the caller of a response that has begun has closed its connection.
+    fn is_caller_gone(&self) -> bool {
+        self.caller.as_ref().is_some_and(Caller::is_gone)
+    }
+
     /// Waits for the next part of any attempt, or until workers are to be checked for silence.
     async fn wait(&mut self) -> Event {
         let interval = SILENCE_CHECK_INTERVAL.min(self.call().remaining());
--- a/crates/cyclamen-gateway/src/lib.rs
+++ b/crates/cyclamen-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! process around them: the listeners, the tasks that keep the node's state up
 //! to date, and startup and shutdown.
 
+mod caller;
 mod clock;
 mod frontend;
 mod handover;
--- a/crates/cyclamen-gateway/src/run.rs
+++ b/crates/cyclamen-gateway/src/run.rs
@@ -14,6 +14,7 @@
 use trillium_server_common::ServerHandle;
 use trillium_smol::async_net;
 
+use crate::caller::{Acceptor, Identify};
 use crate::metrics::Metrics;
 use crate::node::{FOLLOWED_TABLES, Node};
 use crate::platform::{Platform, poll};
@@ -101,8 +102,9 @@
         .with_http_config(HttpConfig::default().with_head_max_len(MAX_HEAD_BYTES))
         .without_signals()
         .with_nodelay()
+        .with_acceptor(Acceptor)
         .with_prebound_server(listener)
-        .spawn(handler)
+        .spawn((Identify, handler))
 }
 
 fn bind(address: SocketAddr) -> eyre::Result<async_net::TcpListener> {
