feat: read the limits that workers name, log and count them

Entries now keep what workers say of themselves in responses to requests, probes and orders (crate cyclamen-quota), log each change (limit_named, limit_changed, limit_lifted) and count limited workers. Nothing acts on it yet.

--- a/crates/cyclamen-gateway/src/frontend.rs
+++ b/crates/cyclamen-gateway/src/frontend.rs
@@ -78,11 +78,13 @@
         let ages = FOLLOWED_TABLES.map(|table| (table, state.table_age(now, table)));
         let contained = state.strikes.contained().len();
         let owned_domains = state.ownership.planners.len();
+        let limited_workers = state.limits.count();
         let era = state.era;
         drop(state);
         self.0.metrics.record_targets(&targets);
         self.0.metrics.record_contained_parts(contained);
         self.0.metrics.record_owned_domains(owned_domains);
+        self.0.metrics.record_limited_workers(limited_workers);
         self.0.metrics.record_store_era(era);
         for (table, age) in ages {
             self.0.metrics.record_table_age(table, age);
--- a/crates/cyclamen-gateway/src/frontend/response.rs
+++ b/crates/cyclamen-gateway/src/frontend/response.rs
@@ -8,7 +8,8 @@
 use trillium::KnownHeaderName;
 
 use crate::frontend::call::Call;
-use crate::tasks::record_leaving;
+use crate::node::LimitSource;
+use crate::tasks;
 
 /// What the head of a worker's response implies about the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,18 +34,17 @@
 }
 
 /// Records what the head of a response says of the worker, whatever the response is: that it is
-/// leaving, or that it wants no requests from this entry for a while.
+/// leaving or in need, or that it wants no requests from this entry for a while.
 pub(crate) fn record_notices(call: &Call, dispatch: &Dispatch, response: &StreamingResponse) {
     let node = &call.node;
     let now = node.now();
-    let is_leaving = response.headers.has_header(node.platform.dialect().leaving);
-    if is_leaving {
-        let worker = Start {
-            instance: dispatch.target.instance.clone(),
-            incarnation: dispatch.target.incarnation,
-        };
-        record_leaving(node, &worker);
-    }
+    let worker = Start {
+        instance: dispatch.target.instance.clone(),
+        incarnation: dispatch.target.incarnation,
+    };
+    let notices = node.platform.dialect().notices(&response.headers);
+    let source = LimitSource::Response;
+    tasks::record_notices(node, &worker, dispatch.chosen_at, notices, source);
     if response.status != 503 {
         return;
     }
--- a/crates/cyclamen-gateway/src/metrics.rs
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -35,6 +35,7 @@
     contained_parts: Gauge<u64>,
     owned_domains: Gauge<u64>,
     cut_off_services: Gauge<u64>,
+    limited_workers: Gauge<u64>,
     store_era: Gauge<u64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
@@ -67,6 +68,7 @@
             contained_parts: meter.u64_gauge("contained_parts").build(),
             owned_domains: meter.u64_gauge("owned_domains").build(),
             cut_off_services: meter.u64_gauge("cut_off_services").build(),
+            limited_workers: meter.u64_gauge("limited_workers").build(),
             store_era: meter.u64_gauge("store_era").build(),
             table_age: meter.f64_gauge("table_age").with_unit("s").build(),
             first_byte: latency_histogram("first_byte"),
@@ -167,6 +169,11 @@
         self.cut_off_services.record(count as u64, &[]);
     }
 
+    /// Records how many workers name a rate limit.
+    pub(crate) fn record_limited_workers(&self, count: usize) {
+        self.limited_workers.record(count as u64, &[]);
+    }
+
     /// Records the highest era of the store that this entry knows of.
     pub(crate) fn record_store_era(&self, era: Era) {
         self.store_era.record(era.0, &[]);
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -3,6 +3,7 @@
 mod containment;
 mod era;
 mod history;
+mod limits;
 mod ownership;
 mod path;
 mod peers;
@@ -25,6 +26,7 @@
 use crate::platform::Platform;
 use crate::settings::Settings;
 
+pub(crate) use limits::LimitSource;
 pub(crate) use ownership::OwnerRow;
 pub(crate) use peers::{Knowledge, Peer};
 pub(crate) use reach::Receiver;
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -10,6 +10,7 @@
 use cyclamen_dispatch::{Cell, Dispatcher, Position, RetryBudget, cell};
 use cyclamen_domain::Owner;
 use cyclamen_lease::Holder;
+use cyclamen_quota::Limits;
 use cyclamen_replica::{Detector, Reach};
 use cyclamen_route::containment::Part;
 use cyclamen_route::{Strikes, containment};
@@ -52,6 +53,8 @@
     pub(crate) zones_out: BTreeSet<zone::Name>,
     pub(crate) registry: Registry,
     pub(crate) dispatcher: Dispatcher,
+    /// The rate limits that workers named.
+    pub(crate) limits: Limits,
     /// The failure detector for workers.
     pub(crate) detector: Detector,
     /// The paths of this entry to the workers of each service.
@@ -113,6 +116,7 @@
             zones_out: BTreeSet::new(),
             registry: Registry::default(),
             dispatcher: Dispatcher::new(cyclamen_dispatch::Options::default()),
+            limits: Limits::default(),
             detector: Detector::default(),
             reach: Reach::default(),
             rows: Cache::default(),
--- a/crates/cyclamen-gateway/src/platform.rs
+++ b/crates/cyclamen-gateway/src/platform.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use cyclamen_cache::{Era, Revision};
+use cyclamen_quota::Naming;
 use cyclamen_replica::{Command, Outcome};
 
 pub use dialect::Dialect;
@@ -21,13 +22,22 @@
 /// A boxed future that can be sent between threads.
 pub type BoxFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
+/// What the head of a worker's response says of the worker, whatever the response is.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Notices {
+    /// Whether the worker is leaving.
+    pub is_leaving: bool,
+    /// The rate limit that it names.
+    pub limit: Naming,
+}
+
 /// What a worker responded, or that it did not.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Response<T> {
     /// The result of the call.
     pub result: T,
-    /// Whether the worker said that it is leaving.
-    pub is_leaving: bool,
+    /// What the worker said of itself; `None` if no response belongs to the call.
+    pub notices: Option<Notices>,
 }
 
 /// The store and the workers of a platform, and its names of headers and paths.
--- a/crates/cyclamen-gateway/src/platform/dialect.rs
+++ b/crates/cyclamen-gateway/src/platform/dialect.rs
@@ -1,5 +1,10 @@
 //! A platform's names of headers and paths.
 
+use cyclamen_quota::Naming;
+use trillium::Headers;
+
+use crate::platform::Notices;
+
 /// A platform's names of headers and paths.
 ///
 /// All fields but `ready_path` and `key_scheme` are names of headers; their comments describe the
@@ -34,4 +39,19 @@
     pub not_run: &'static str,
     /// Present on all responses of a worker that is leaving.
     pub leaving: &'static str,
+    /// The requests per second that a worker in need takes from all entries together, a decimal
+    /// number; present on all its responses while it is in need.
+    pub limit: &'static str,
+}
+
+impl Dialect {
+    /// Reads what the head of a worker's response says of the worker.
+    pub fn notices(&self, headers: &Headers) -> Notices {
+        let limits = headers.get_values(self.limit);
+        let limits = limits.into_iter().flat_map(|values| values.iter());
+        Notices {
+            is_leaving: headers.has_header(self.leaving),
+            limit: Naming::read(limits.map(|value| value.as_str().unwrap_or_default())),
+        }
+    }
 }
--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -5,6 +5,7 @@
 mod follow;
 mod gossip;
 mod lease;
+mod notices;
 mod ownership;
 mod paths;
 mod plan;
@@ -22,7 +23,8 @@
 pub(crate) use crash::{Suspect, confirm as confirm_crash};
 pub(crate) use gossip::{gossip_now, respond as respond_gossip};
 pub(crate) use lease::resign;
-pub(crate) use probe::{probe_group, record_leaving};
+pub(crate) use notices::record_notices;
+pub(crate) use probe::probe_group;
 
 /// The interval at which the lease is checked for a due renewal.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/cyclamen-gateway/src/tasks/plan.rs
+++ b/crates/cyclamen-gateway/src/tasks/plan.rs
@@ -9,10 +9,10 @@
 use smol::Timer;
 use smol::future::or;
 
-use crate::node::{Node, State};
+use crate::node::{LimitSource, Node, State};
 use crate::settings::millis;
-use crate::tasks::ownership;
-use crate::tasks::probe::{INITIAL_PROBES, probe_worker, record_leaving};
+use crate::tasks::probe::{INITIAL_PROBES, probe_worker};
+use crate::tasks::{ownership, record_notices};
 
 /// Plans when woken by a change, and at least once per planning interval.
 pub(super) async fn run(node: Arc<Node>) {
@@ -123,6 +123,7 @@
 }
 
 async fn send_order(node: Arc<Node>, command: Command) {
+    let sent_at = node.now();
     let response = node.platform.order(&command).await;
     let outcome = response.result;
     let kind = command.order.kind();
@@ -137,8 +138,9 @@
     let Some(worker) = record_outcome(&node, &command, outcome) else {
         return;
     };
-    if response.is_leaving {
-        record_leaving(&node, &Start::from(worker.as_ref()));
+    if let Some(notices) = response.notices {
+        let start = Start::from(worker.as_ref());
+        record_notices(&node, &start, sent_at, notices, LimitSource::Order);
     }
     match outcome {
         Outcome::Accepted => {}
--- a/crates/cyclamen-gateway/src/tasks/probe.rs
+++ b/crates/cyclamen-gateway/src/tasks/probe.rs
@@ -9,10 +9,10 @@
 use cyclamen_replica::Start;
 use cyclamen_types::{Time, instance};
 
-use crate::node::{Node, State};
+use crate::node::{LimitSource, Node, State};
 use crate::settings::millis;
 use crate::tasks::gossip::SMALL_FLEET_PEERS;
-use crate::tasks::{gossip_now, paths};
+use crate::tasks::{gossip_now, paths, record_notices};
 
 /// The number of probes in a row that a worker has to fail to become suspected.
 pub(super) const INITIAL_PROBES: u32 = 2;
@@ -136,9 +136,10 @@
 ) -> bool {
     let timeout = millis(node.settings.timing.report_timeout_ms);
     for _ in 0..probes {
+        let sent_at = node.now();
         let response = node.platform.probe(address, timeout).await;
-        if response.is_leaving {
-            record_leaving(node, worker);
+        if let Some(notices) = response.notices {
+            record_notices(node, worker, sent_at, notices, LimitSource::Probe);
         }
         if response.result {
             return true;
@@ -147,14 +148,6 @@
     false
 }
 
-/// Records that a worker said in a response that it is leaving, and tells other entries.
-pub(crate) fn record_leaving(node: &Arc<Node>, worker: &Start) {
-    if node.state().record_leaving(node.now(), worker) {
-        gossip_now(node);
-        node.wake_planner();
-    }
-}
-
 /// Probes suspected workers again, as well as unlisted members of groups in the domains that
 /// this entry owns, which may be finishing their work or have failed.
 pub(super) fn reprobe(node: &Arc<Node>) {
