--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -6,10 +6,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use cyclamen_quota::{Permit, Permits};
 use cyclamen_types::{Time, group, instance};
 use rand::Rng;
 
-use crate::limiter::Limiter;
 use crate::options::Options;
 use crate::pauses::Pauses;
 use crate::request::{Criteria, Dispatch, Load, Outcome, Refusal, Target};
@@ -19,6 +19,8 @@
 /// Additional cost of a worker that may have failed, or recently failed or shed a request, in
 /// multiples of the latency goal.
 const FAILURE_COST: f64 = 2.0;
+/// Additional cost of a worker in need, in multiples of the latency goal.
+const LIMITED_COST: f64 = 0.5;
 /// Upper bound of the random cost that breaks ties, in multiples of the latency goal.
 const TIE_BREAK_COST: f64 = 0.02;
 /// A worker may queue up to its number of slots divided by this.
@@ -34,6 +36,7 @@
     resting: BTreeMap<WorkerKey, Worker>,
     peers: BTreeMap<String, (Time, BTreeMap<WorkerKey, InProgress>)>,
     pauses: Pauses,
+    permits: Permits,
 }
 
 impl Dispatcher {
@@ -45,6 +48,7 @@
             resting: BTreeMap::new(),
             peers: BTreeMap::new(),
             pauses: Pauses::default(),
+            permits: Permits::default(),
         }
     }
 
@@ -62,7 +66,6 @@
                 None => Worker {
                     target,
                     in_progress: InProgress::default(),
-                    limiter: Limiter::default(),
                     last_failure: None,
                 },
             };
@@ -82,7 +85,7 @@
         let peers = self.peers_in_progress(now);
         let mut rejections = Rejections::default();
         let mut best: Option<(f64, WorkerKey, InProgress)> = None;
-        for (key, worker) in &mut self.workers {
+        for (key, worker) in &self.workers {
             if !worker.matches(criteria) {
                 continue;
             }
@@ -102,8 +105,8 @@
                 rejections.record_overloaded(wait);
                 continue;
             }
-            if !worker.is_within_cold_limit(now, criteria.position) {
-                rejections.cold = true;
+            if let Some(hold) = self.hold(now, worker, criteria.priority) {
+                rejections.record_hold(hold, worker.target.limit.is_some());
                 continue;
             }
             let cost = self.options.cost(now, criteria, worker, wait)
@@ -115,12 +118,11 @@
         let chosen =
             best.and_then(|(_, key, in_progress)| Some((self.workers.get_mut(&key)?, in_progress)));
         let Some((worker, in_progress)) = chosen else {
-            return Err(rejections.refusal(criteria, &self.options));
+            return Err(rejections.refusal(criteria, &self.options, rng));
         };
         let forecast = worker.forecast_wait(in_progress, criteria.tokens, &self.options);
         worker.in_progress.running += 1;
         worker.in_progress.backlog += criteria.tokens;
-        worker.limiter.record_request(now);
         Ok(Dispatch {
             target: worker.target.clone(),
             chosen_at: now,
@@ -136,6 +138,31 @@
         self.pauses.record(now, &dispatch.target, time);
     }
 
+    /// Returns how long a request of a priority waits before a permit for a limited worker is asked
+    /// for, if it has to.
+    fn hold(&self, now: Time, worker: &Worker, priority: u8) -> Option<Duration> {
+        worker.target.rate_limit(now)?;
+        self.permits.hold(now, worker.start(), priority)
+    }
+
+    /// Takes an unused permit of a worker, if there is one.
+    pub fn take_permit(&mut self, now: Time, target: &Target) -> Option<Permit> {
+        let start = (&target.instance, target.incarnation);
+        self.permits.take(now, start)
+    }
+
+    /// Returns a permit whose request was not sent.
+    pub fn put_permit_back(&mut self, now: Time, permit: Permit) {
+        self.permits.put_back(now, permit);
+    }
+
+    /// Records that no permit of a worker is to be had for a while, for requests of a priority and
+    /// less urgent ones.
+    pub fn record_hold(&mut self, now: Time, target: &Target, priority: u8, wait: Duration) {
+        let start = (&target.instance, target.incarnation);
+        self.permits.record_hold(now, start, priority, wait);
+    }
+
     /// Records that the response to a request has begun.
     pub fn record_started(&mut self, dispatch: &Dispatch) {
         if let Some(worker) = self.worker_of(dispatch) {
@@ -275,6 +302,11 @@
         } else {
             0.0
         };
-        wait.as_secs_f64() / goal + locality + failure
+        let limit = if target.limit.is_some() {
+            LIMITED_COST
+        } else {
+            0.0
+        };
+        wait.as_secs_f64() / goal + locality + failure + limit
     }
 }
--- a/crates/cyclamen-dispatch/src/dispatcher/rejections.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher/rejections.rs
@@ -2,19 +2,23 @@
 
 use std::time::Duration;
 
+use rand::Rng;
+
 use crate::options::Options;
 use crate::request::{Criteria, Reason, Refusal};
 
-/// Retry delay for callers that are refused because all workers are cold and this entry's quotas
-/// are used up.
-const COLD_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// The time over which the returns of callers are spread that are refused for want of permits.
+const RETURN_SPREAD_SECONDS: f64 = 0.5;
 
 /// Why matching workers were rejected.
 #[derive(Debug, Default)]
 pub(super) struct Rejections {
     pub(super) workers: usize,
     least_wait: Option<Duration>,
-    pub(super) cold: bool,
+    /// The shortest time until a permit of a limited worker is asked for.
+    hold: Option<Duration>,
+    /// Whether any of these workers names a limit.
+    is_limited: bool,
     /// The shortest remaining pause.
     pause: Option<Duration>,
 }
@@ -28,14 +32,32 @@
         self.pause = Some(self.pause.map_or(remaining, |least| least.min(remaining)));
     }
 
+    pub(super) fn record_hold(&mut self, hold: Duration, is_limited: bool) {
+        self.hold = Some(self.hold.map_or(hold, |least| least.min(hold)));
+        self.is_limited |= is_limited;
+    }
+
     /// Returns the refusal; if workers are overloaded, its retry delay is the time after which the
     /// shortest forecast wait should have fallen to half the latency goal.
-    pub(super) fn refusal(self, criteria: &Criteria<'_>, options: &Options) -> Refusal {
-        let (reason, wait) = match (self.least_wait, self.cold, self.pause) {
+    pub(super) fn refusal(
+        self,
+        criteria: &Criteria<'_>,
+        options: &Options,
+        rng: &mut impl Rng,
+    ) -> Refusal {
+        let (reason, wait) = match (self.least_wait, self.hold, self.pause) {
             (Some(wait), ..) => (Reason::Overloaded, wait.saturating_sub(criteria.goal / 2)),
-            (None, true, _) => (Reason::Cold, COLD_RETRY_DELAY),
-            (None, false, Some(remaining)) => (Reason::Paused, remaining),
-            (None, false, None) => (Reason::NoWorker, options.min_retry_after * 2),
+            (None, Some(hold), _) => {
+                let spread = rng.random::<f64>() * RETURN_SPREAD_SECONDS;
+                let reason = if self.is_limited {
+                    Reason::Limited
+                } else {
+                    Reason::Cold
+                };
+                (reason, hold + Duration::from_secs_f64(spread))
+            }
+            (None, None, Some(remaining)) => (Reason::Paused, remaining),
+            (None, None, None) => (Reason::NoWorker, options.min_retry_after * 2),
         };
         Refusal {
             reason,
--- a/crates/cyclamen-dispatch/src/dispatcher/worker.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher/worker.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use cyclamen_types::Time;
+use cyclamen_types::{Time, instance};
 
-use crate::limiter::{Limiter, Position};
 use crate::options::Options;
 use crate::request::{Criteria, Target};
 
@@ -29,11 +28,15 @@
 pub(super) struct Worker {
     pub(super) target: Target,
     pub(super) in_progress: InProgress,
-    pub(super) limiter: Limiter,
     pub(super) last_failure: Option<Time>,
 }
 
 impl Worker {
+    /// Returns the worker and its incarnation.
+    pub(super) fn start(&self) -> (&instance::Id, instance::Incarnation) {
+        (&self.target.instance, self.target.incarnation)
+    }
+
     pub(super) fn matches(&self, criteria: &Criteria<'_>) -> bool {
         let target = &self.target;
         let serves = target.service == *criteria.service && target.model.as_ref() == criteria.model;
@@ -60,22 +63,4 @@
             }
         }
     }
-
-    /// Returns whether a cold worker may get one more request from this entry; one that is not
-    /// cold always may.
-    pub(super) fn is_within_cold_limit(&mut self, now: Time, position: Position) -> bool {
-        match self.target.cold {
-            Some((until, per_second)) if now < until => {
-                let quota = position.quota(per_second as usize, self.quota_offset());
-                self.limiter.allows(now, quota)
-            }
-            _ => true,
-        }
-    }
-
-    /// Returns an offset that varies by worker and is the same on every entry.
-    fn quota_offset(&self) -> usize {
-        let bytes = self.target.instance.as_str().bytes();
-        bytes.map(usize::from).sum()
-    }
 }
--- a/crates/cyclamen-dispatch/src/lib.rs
+++ b/crates/cyclamen-dispatch/src/lib.rs
@@ -3,13 +3,12 @@
 //! An entry sends requests directly to the heads of replica groups and to the
 //! workers of plain services. It counts its own requests in progress on
 //! each worker and receives the counts of other entries a few times a second.
-//! The rate limit of a cold worker must hold exactly across all entries, so it
-//! is divided into fixed quotas.
+//! The rate limit of a worker that is cold or in need holds over all entries
+//! together: a request to it needs a permit, see [`cyclamen_quota`].
 
 mod cell;
 mod dispatcher;
 mod forecast;
-mod limiter;
 mod options;
 mod pauses;
 mod request;
@@ -18,7 +17,6 @@
 pub use cell::{Cell, cell};
 pub use dispatcher::Dispatcher;
 pub use forecast::Forecast;
-pub use limiter::{Limiter, Position};
 pub use options::Options;
 pub use request::{Criteria, Dispatch, Load, Outcome, Reason, Refusal, Target};
 pub use retry_budget::RetryBudget;
--- a/crates/cyclamen-dispatch/src/request.rs
+++ b/crates/cyclamen-dispatch/src/request.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cyclamen_quota::Rate;
 use cyclamen_types::{Time, domain, group, instance, model, pool, zone};
 
 use crate::forecast::Forecast;
-use crate::limiter::Position;
 
 /// A worker that accepts requests: the head of a replica group, or a worker of a plain service.
 #[derive(Debug, Clone, PartialEq)]
@@ -31,13 +31,31 @@
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// When it stops being cold, and the requests per second that it can handle until then.
-    pub cold: Option<(Time, f64)>,
+    pub cold: Option<(Time, Rate)>,
+    /// The rate limit that it names, if it is in need.
+    pub limit: Option<Rate>,
     /// Its speed, if it runs a model.
     pub forecast: Option<Forecast>,
     /// Whether it may have failed, so that others are preferred.
     pub doubtful: bool,
 }
 
+impl Target {
+    /// Returns the rate limit of the worker while it is cold, if it is.
+    pub fn cold_limit(&self, now: Time) -> Option<Rate> {
+        let (until, rate) = self.cold?;
+        (now < until).then_some(rate)
+    }
+
+    /// Returns the worker's rate limit over all entries, if it has one now.
+    pub fn rate_limit(&self, now: Time) -> Option<Rate> {
+        match (self.cold_limit(now), self.limit) {
+            (Some(cold), Some(named)) => Some(cold.min(named)),
+            (cold, named) => cold.or(named),
+        }
+    }
+}
+
 /// Selection criteria of a request.
 #[derive(Debug, Clone)]
 pub struct Criteria<'a> {
@@ -60,8 +78,8 @@
     pub late: bool,
     /// Tokens of its prompt.
     pub tokens: u64,
-    /// This entry's position among the entries that divide the limits of cold workers.
-    pub position: Position,
+    /// The priority; zero is the most urgent.
+    pub priority: u8,
 }
 
 /// A request that was assigned to a worker.
@@ -114,8 +132,10 @@
     NoWorker,
     /// No worker can accept it, and at least one is overloaded.
     Overloaded,
-    /// All workers are cold and this entry's quotas of their rate limits are used up.
+    /// All workers are cold and no permit to send to one is to be had now.
     Cold,
+    /// The same, and at least one of the workers is in need.
+    Limited,
     /// All workers want no requests from this entry for a while.
     Paused,
 }
@@ -127,6 +147,7 @@
             Self::NoWorker => "no_worker",
             Self::Overloaded => "overloaded",
             Self::Cold => "cold",
+            Self::Limited => "limited",
             Self::Paused => "paused",
         }
     }
--- a/crates/cyclamen-dispatch/tests/dispatch.rs
+++ b/crates/cyclamen-dispatch/tests/dispatch.rs
@@ -1,4 +1,4 @@
-//! Worker selection, cold-worker quotas, retry budgets and cells.
+//! Worker selection, limited workers, retry budgets and cells.
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
@@ -7,9 +7,10 @@
 
 use cyclamen_directory::service::{Engine, Model};
 use cyclamen_dispatch::{
-    Cell, Criteria, Dispatch, Dispatcher, Forecast, Limiter, Load, Options, Outcome, Position,
-    Reason, RetryBudget, Target, cell,
+    Cell, Criteria, Dispatch, Dispatcher, Forecast, Load, Options, Outcome, Reason, RetryBudget,
+    Target, cell,
 };
+use cyclamen_quota::Rate;
 use cyclamen_types::{Time, domain, entry, group, instance, model, pool, zone};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -58,6 +59,7 @@
         domain: Some("d0".parse().unwrap()),
         slots: engine.slots,
         cold: None,
+        limit: None,
         doubtful: false,
         forecast: Some(Forecast::of(&engine, &engine.models[0])),
     }
@@ -98,10 +100,7 @@
             remaining: Duration::from_secs(8),
             late: self.late,
             tokens: self.tokens,
-            position: Position {
-                rank: 0,
-                entries: 6,
-            },
+            priority: 1,
         }
     }
 }
@@ -285,53 +284,98 @@
     assert!(dispatcher.loads().is_empty());
 }
 
+fn rate(per_second: f64) -> Rate {
+    Rate::new(per_second).unwrap()
+}
+
+fn cold(name: &str) -> Target {
+    Target {
+        cold: Some((at(3_000), rate(36.0))),
+        ..head(name, "a")
+    }
+}
+
+fn limited(name: &str) -> Target {
+    Target {
+        limit: Some(rate(2.0)),
+        ..head(name, "a")
+    }
+}
+
+macro_rules! holds {
+    ($($name:ident: $target:expr, $held_from:literal, $priority:literal, $at:literal => $result:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let target = $target;
+            let mut dispatcher = dispatcher([target.clone()]);
+            let wait = Duration::from_millis(300);
+            dispatcher.record_hold(at(0), &target, $held_from, wait);
+            let request = Request::new();
+            let criteria = Criteria { priority: $priority, ..request.criteria() };
+            let chosen = dispatcher.choose(at($at), &criteria, &mut rng());
+            let chosen: Result<(), Reason> = chosen.map(|_| ()).map_err(|r| r.reason);
+            assert_eq!(chosen, $result);
+        }
+    )*};
+}
+
+holds! {
+    a_cold_worker_without_a_permit_gets_no_request: cold("h1"), 0, 1, 299 => Err(Reason::Cold);
+    a_limited_worker_without_a_permit_gets_no_request: limited("h1"), 0, 1, 299 => Err(Reason::Limited);
+    a_more_urgent_request_asks_for_a_permit: limited("h1"), 1, 0, 299 => Ok(());
+    a_request_of_the_same_priority_does_not: limited("h1"), 1, 1, 299 => Err(Reason::Limited);
+    a_permit_is_asked_for_again_after_a_while: limited("h1"), 0, 1, 300 => Ok(());
+    a_worker_that_is_warm_again_needs_no_permit:
+        Target { cold: Some((at(100), rate(36.0))), ..head("h1", "a") }, 0, 1, 100 => Ok(());
+    a_worker_without_limit_needs_none: head("h1", "a"), 0, 1, 0 => Ok(());
+}
+
 #[test]
-fn a_cold_worker_gets_this_entrys_quota() {
-    let cold = Target {
-        cold: Some((at(3_000), 36.0)),
-        ..head("h1", "a")
-    };
-    let mut dispatcher = dispatcher([cold]);
-    let request = Request {
-        tokens: 1,
-        ..Request::new()
+fn a_hold_ends_with_the_incarnation_of_the_worker() {
+    let restarted = Target {
+        incarnation: instance::Incarnation(2),
+        ..limited("h1")
     };
-    let mut sent = 0;
-    while let Ok(each) = choose(&mut dispatcher, &request) {
-        dispatcher.record_outcome(at(0), &each, Outcome::Complete, false);
-        sent += 1;
-        assert!(sent <= 6, "more than a sixth of 36 in a second");
-    }
-    assert_eq!(sent, 6);
-    assert_eq!(choose(&mut dispatcher, &request), Err(Reason::Cold));
+    let mut dispatcher = dispatcher([limited("h1")]);
+    dispatcher.record_hold(at(0), &limited("h1"), 0, Duration::from_secs(1));
+    dispatcher.refresh([restarted]);
+    assert!(choose(&mut dispatcher, &Request::new()).is_ok());
 }
 
-/// Guards against cold workers that get more than their limit because of the number of entries,
-/// or because entries do not receive each other's loads.
+/// Guards against a history of cold or limited workers that is lost when a worker takes no requests
+/// for a moment.
 #[test]
-fn quotas_of_all_entries_add_up_to_the_limit() {
-    for entries in [1, 2, 5, 6, 9, 36, 73, 330] {
-        for offset in [0, 1, 40, 1_000] {
-            let mut sent = 0;
-            for rank in 0..entries {
-                let quota = Position { rank, entries }.quota(36, offset);
-                let mut limiter = Limiter::default();
-                while limiter.allows(at(0), quota) {
-                    limiter.record_request(at(0));
-                    sent += 1;
-                }
-            }
-            assert_eq!(sent, 36, "{entries} entries");
-        }
+fn a_hold_outlives_an_absence_from_the_targets() {
+    let mut dispatcher = dispatcher([limited("h1")]);
+    dispatcher.record_hold(at(0), &limited("h1"), 0, Duration::from_secs(1));
+    dispatcher.refresh([]);
+    dispatcher.refresh([limited("h1")]);
+    let chosen = choose(&mut dispatcher, &Request::new());
+    assert_eq!(chosen.map(|_| ()), Err(Reason::Limited));
+}
+
+#[test]
+fn work_goes_to_workers_without_limit_first() {
+    let mut dispatcher = dispatcher([limited("h1"), head("h2", "a")]);
+    for _ in 0..4 {
+        let chosen = choose(&mut dispatcher, &Request::new()).unwrap();
+        assert_eq!(chosen.target.instance.as_str(), "h2");
     }
 }
 
 #[test]
-fn limiter_allows_again_after_a_second() {
-    let mut limiter = Limiter::default();
-    limiter.record_request(at(0));
-    assert!(!limiter.allows(at(999), 1));
-    assert!(limiter.allows(at(1_000), 1));
+fn callers_that_are_refused_come_back_at_different_times() {
+    let mut dispatcher = dispatcher([limited("h1")]);
+    dispatcher.record_hold(at(0), &limited("h1"), 0, Duration::from_millis(400));
+    let mut rng = rng();
+    let mut delays = BTreeSet::new();
+    for _ in 0..20 {
+        let request = Request::new();
+        let refusal = dispatcher.choose(at(0), &request.criteria(), &mut rng);
+        delays.insert(refusal.unwrap_err().retry_after);
+    }
+    assert!(delays.first() >= Some(&Duration::from_millis(400)));
+    assert!(delays.len() >= 15, "{delays:?}");
 }
 
 macro_rules! budget {
--- a/crates/cyclamen-entry/src/tasks/gossip.rs
+++ b/crates/cyclamen-entry/src/tasks/gossip.rs
@@ -103,6 +103,11 @@
         handover: None,
         unserved: Vec::new(),
         cut_off: Vec::new(),
+        limits: Vec::new(),
+        issues: Vec::new(),
+        uses_permits: false,
+        is_draining: false,
+        store_age: Duration::ZERO,
     }
 }
 
--- a/crates/cyclamen-gateway/src/frontend.rs
+++ b/crates/cyclamen-gateway/src/frontend.rs
@@ -5,6 +5,7 @@
 mod check;
 mod containment;
 mod handover;
+mod permit;
 mod refusal;
 mod request;
 mod response;
@@ -16,7 +17,7 @@
 
 use trillium::{Conn, Handler, KnownHeaderName};
 
-use crate::node::{FOLLOWED_TABLES, Node};
+use crate::node::{FOLLOWED_TABLES, Node, is_service_scope};
 pub(crate) use handover::Receiver;
 use refusal::Refusal;
 use request::Request;
@@ -77,7 +78,8 @@
         let targets = state.target_counts();
         let ages = FOLLOWED_TABLES.map(|table| (table, state.table_age(now, table)));
         let contained = state.strikes.contained().len();
-        let owned_domains = state.ownership.planners.len();
+        let owned = state.ownership.planners.keys();
+        let owned_domains = owned.filter(|name| !is_service_scope(name)).count();
         let limited_workers = state.limits.count();
         let era = state.era;
         drop(state);
--- a/crates/cyclamen-gateway/src/frontend/buffered.rs
+++ b/crates/cyclamen-gateway/src/frontend/buffered.rs
@@ -31,6 +31,8 @@
 enum Failure {
     /// The request did not get to a worker.
     NotSent,
+    /// No permit for the limited worker is to be had now.
+    Held,
     /// The worker did not run the request.
     NotRun,
     /// The worker responded with an error status.
@@ -91,6 +93,12 @@
                     return Err(Refusal::deadline_exceeded());
                 }
             }
+            Err(Failure::Held) => {
+                request.record_held(&way);
+                if request.call.remaining().is_zero() {
+                    return Err(Refusal::deadline_exceeded());
+                }
+            }
             Err(Failure::NotRun) => {
                 if !request.try_spend_retry() {
                     return Err(Refusal::retries_spent());
@@ -136,7 +144,7 @@
     in_progress.outcome = match &result {
         Ok(_) => Outcome::Complete,
         Err(Failure::NotRun) => Outcome::Shed,
-        Err(Failure::TimedOut | Failure::NoMemory) => Outcome::Cancelled,
+        Err(Failure::TimedOut | Failure::NoMemory | Failure::Held) => Outcome::Cancelled,
         Err(_) => Outcome::Failed,
     };
     result
@@ -159,6 +167,7 @@
 async fn exchange(call: &Call, way: &Way) -> Result<Response, Failure> {
     let response = way.send(call, None).await.map_err(|error| match error {
         SendError::NotSent | SendError::Refused(_) => Failure::NotSent,
+        SendError::Held => Failure::Held,
         SendError::NotRun => Failure::NotRun,
         SendError::TimedOut => Failure::TimedOut,
         SendError::Closed => Failure::Closed,
--- a/crates/cyclamen-gateway/src/frontend/call.rs
+++ b/crates/cyclamen-gateway/src/frontend/call.rs
@@ -95,6 +95,7 @@
         let mut guard = self.node.state();
         let state = &mut *guard;
         let is_late = self.waited(now) >= self.route.goal;
+        let priority = self.priority();
         let criteria = Criteria {
             service: &self.service.name,
             model: self.model.as_ref(),
@@ -105,7 +106,7 @@
             remaining: self.deadline.since(now),
             late: is_late,
             tokens: self.tokens,
-            position: state.position(),
+            priority,
         };
         let chosen = state.dispatcher.choose(now, &criteria, &mut state.rng);
         chosen.map_err(|refusal| {
--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -209,6 +209,14 @@
         }
     }
 
+    /// Records that no permit for the chosen worker was to be had; it may be chosen again later.
+    pub(crate) fn record_held(&mut self, way: &Way) {
+        self.sent = self.sent.saturating_sub(1);
+        if let Way::Worker(dispatch) = way {
+            self.tried.retain(|id| *id != dispatch.target.instance);
+        }
+    }
+
     /// Returns whether the request may be sent to another worker; if so, spends a retry of the
     /// service's budget.
     pub(crate) fn try_spend_retry(&mut self) -> bool {
@@ -227,14 +235,15 @@
         }
         let now = call.node.now();
         let mut state = call.node.state();
-        let entries = state.position().entries;
+        // An entry that knows no others has no part of the reserve.
+        let parts = state.members.parts(now).unwrap_or(usize::MAX);
         let granted = state
             .retry_budget(call.service_name())
-            .try_spend(now, entries);
+            .try_spend(now, parts);
         drop(state);
         if !granted {
             log::info!(
-                "event=retry_denied id={} service={} entries={entries}",
+                "event=retry_denied id={} service={} parts={parts}",
                 call.id,
                 call.service.name
             );
--- a/crates/cyclamen-gateway/src/frontend/stream/failure.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/failure.rs
@@ -22,6 +22,8 @@
 pub(super) enum Failure {
     /// No connection was made.
     NotSent,
+    /// No permit for the limited worker is to be had now.
+    Held,
     /// The other entry did not send the request to a worker.
     Refused(Refusal),
     /// The worker did not run the request.
@@ -50,6 +52,7 @@
     fn from(error: SendError) -> Self {
         match error {
             SendError::NotSent => Self::NotSent,
+            SendError::Held => Self::Held,
             SendError::Refused(refusal) => Self::Refused(refusal),
             SendError::NotRun => Self::NotRun,
             SendError::Closed => Self::Closed,
--- a/crates/cyclamen-gateway/src/frontend/stream/relay.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay.rs
@@ -233,7 +233,9 @@
         }
         let refusal = refusal(failure, self.has_head);
         let may_retry = match failure {
-            Failure::NotSent | Failure::Refused(_) => return self.start_attempt(),
+            Failure::NotSent | Failure::Held | Failure::Refused(_) => {
+                return self.start_attempt();
+            }
             Failure::NotRun => true,
             Failure::Closed | Failure::Unknown | Failure::Failed | Failure::Broken(_) => {
                 call.is_resumable()
@@ -251,6 +253,7 @@
         let call = self.call().clone();
         let outcome = match failure {
             Failure::NotRun => Outcome::Shed,
+            Failure::Held => Outcome::Cancelled,
             Failure::NotSent
             | Failure::Refused(_)
             | Failure::Closed
@@ -264,6 +267,10 @@
                 self.request.record_unsent(&attempt.way);
                 self.may_send = true;
             }
+            Failure::Held => {
+                self.request.record_held(&attempt.way);
+                self.may_send = true;
+            }
             Failure::NotRun => {}
             Failure::Closed | Failure::Unknown | Failure::Failed | Failure::Broken(_) => {
                 self.request.may_have_run = true;
@@ -291,6 +298,7 @@
 fn refusal(failure: Failure, has_head: bool) -> Refusal {
     match failure {
         Failure::NotSent => Refusal::retry_later("not_connected", CONNECT_RETRY_DELAY),
+        Failure::Held => Refusal::retry_later("limited", CONNECT_RETRY_DELAY),
         Failure::Refused(refusal) => refusal,
         Failure::NotRun => Refusal::not_run("shed", CONNECT_RETRY_DELAY),
         Failure::Closed | Failure::Unknown => Refusal::failed("outcome_unknown"),
--- a/crates/cyclamen-gateway/src/frontend/way.rs
+++ b/crates/cyclamen-gateway/src/frontend/way.rs
@@ -9,6 +9,7 @@
 use cyclamen_types::{Time, instance};
 
 use crate::frontend::call::Call;
+use crate::frontend::permit;
 use crate::frontend::refusal::Refusal;
 use crate::frontend::send::{send, send_to_entry};
 use crate::handover::Reply;
@@ -37,6 +38,8 @@
 pub(crate) enum SendError {
     /// No connection was made.
     NotSent,
+    /// No permit for the limited worker is to be had now.
+    Held,
     /// The other entry did not send the request to a worker.
     Refused(Refusal),
     /// A worker received the request and did not run it.
@@ -60,7 +63,13 @@
     ) -> Result<StreamingResponse, SendError> {
         match self {
             Self::Worker(dispatch) => {
+                let permit = permit::acquire(call, dispatch).await;
+                let permit = permit.map_err(|permit::Held| SendError::Held)?;
                 let result = send(call, dispatch, last_event_id).await;
+                if let (Some(permit), Err(Error::NotSent)) = (permit, &result) {
+                    let mut state = call.node.state();
+                    state.dispatcher.put_permit_back(call.node.now(), permit);
+                }
                 record_contact(call, dispatch, &result);
                 Ok(result?)
             }
--- a/crates/cyclamen-gateway/src/metrics.rs
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -36,6 +36,7 @@
     owned_domains: Gauge<u64>,
     cut_off_services: Gauge<u64>,
     limited_workers: Gauge<u64>,
+    held_back: Counter<u64>,
     store_era: Gauge<u64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
@@ -68,6 +69,7 @@
             contained_parts: meter.u64_gauge("contained_parts").build(),
             owned_domains: meter.u64_gauge("owned_domains").build(),
             cut_off_services: meter.u64_gauge("cut_off_services").build(),
+            held_back: meter.u64_counter("requests_held_back").build(),
             limited_workers: meter.u64_gauge("limited_workers").build(),
             store_era: meter.u64_gauge("store_era").build(),
             table_age: meter.f64_gauge("table_age").with_unit("s").build(),
@@ -169,6 +171,11 @@
         self.cut_off_services.record(count as u64, &[]);
     }
 
+    /// Counts a request for which no permit for a limited worker was to be had.
+    pub(crate) fn record_held_back(&self) {
+        self.held_back.add(1, &[]);
+    }
+
     /// Records how many workers name a rate limit.
     pub(crate) fn record_limited_workers(&self, count: usize) {
         self.limited_workers.record(count as u64, &[]);
--- a/crates/cyclamen-gateway/src/node/ownership.rs
+++ b/crates/cyclamen-gateway/src/node/ownership.rs
@@ -45,6 +45,8 @@
     ///
     /// Candidates gossip with each other, so that each can detect when a higher-ranked one fails.
     pub(crate) candidates: Ranking<domain::Name, entry::Name>,
+    /// When this entry took each domain over from another entry.
+    pub(crate) taken_over_at: BTreeMap<domain::Name, Time>,
     lease: cyclamen_lease::Options,
 }
 
@@ -62,6 +64,7 @@
             lease,
             read_at: None,
             candidates: Ranking::default(),
+            taken_over_at: BTreeMap::new(),
         }
     }
 
--- a/crates/cyclamen-gateway/src/node/peers.rs
+++ b/crates/cyclamen-gateway/src/node/peers.rs
@@ -6,7 +6,7 @@
 use cyclamen_cache::Revision;
 use cyclamen_directory::catalog::Version;
 use cyclamen_peer::{Capability, Gossip};
-use cyclamen_types::{Time, entry, pool};
+use cyclamen_types::{Time, domain, entry, pool};
 
 /// What another entry knew when its gossip last arrived.
 #[derive(Debug, Clone, Default)]
@@ -25,6 +25,14 @@
     pub(crate) unserved: Arc<[Capability]>,
     /// The services whose workers it did not reach.
     pub(crate) cut_off: Arc<[pool::Service]>,
+    /// The scopes for whose workers it issued permits.
+    pub(crate) issues: Arc<[domain::Name]>,
+    /// Whether it sends to limited workers only with permits.
+    pub(crate) uses_permits: bool,
+    /// Whether it was draining.
+    pub(crate) is_draining: bool,
+    /// When the store last answered it.
+    pub(crate) store_answered_at: Time,
 }
 
 impl Knowledge {
@@ -38,6 +46,10 @@
             handover: gossip.handover,
             unserved: gossip.unserved.as_slice().into(),
             cut_off: gossip.cut_off.as_slice().into(),
+            issues: gossip.issues.as_slice().into(),
+            uses_permits: gossip.uses_permits,
+            is_draining: gossip.is_draining,
+            store_answered_at: now - gossip.store_age,
         }
     }
 }
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -7,14 +7,14 @@
 
 use cyclamen_cache::{Cache, Era, Key, Revision};
 use cyclamen_directory::{Catalog, Registry};
-use cyclamen_dispatch::{Cell, Dispatcher, Position, RetryBudget, cell};
+use cyclamen_dispatch::{Cell, Dispatcher, RetryBudget, cell};
 use cyclamen_domain::Owner;
 use cyclamen_lease::Holder;
-use cyclamen_quota::Limits;
+use cyclamen_quota::{Issuer, Limits, Members};
 use cyclamen_replica::{Detector, Reach};
 use cyclamen_route::containment::Part;
 use cyclamen_route::{Strikes, containment};
-use cyclamen_types::{Time, entry, instance, pool, zone};
+use cyclamen_types::{Time, domain, entry, instance, pool, zone};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -55,6 +55,16 @@
     pub(crate) dispatcher: Dispatcher,
     /// The rate limits that workers named.
     pub(crate) limits: Limits,
+    /// Issues the permits for workers of the scopes that this entry owns.
+    pub(crate) issuer: Issuer,
+    /// Issues this entry's own part of the permits of workers for which no entry does so.
+    pub(crate) part_issuer: Issuer,
+    /// The entries that last decided on permits of each scope.
+    pub(crate) issuers: BTreeMap<domain::Name, entry::Name>,
+    /// When the store last answered this entry.
+    pub(crate) store_answered_at: Time,
+    /// The number of entries that divide the retry budgets.
+    pub(crate) members: Members,
     /// The failure detector for workers.
     pub(crate) detector: Detector,
     /// The paths of this entry to the workers of each service.
@@ -117,6 +127,11 @@
             registry: Registry::default(),
             dispatcher: Dispatcher::new(cyclamen_dispatch::Options::default()),
             limits: Limits::default(),
+            issuer: Issuer::default(),
+            part_issuer: Issuer::default(),
+            issuers: BTreeMap::new(),
+            store_answered_at: Time::default(),
+            members: Members::new(millis(settings.retries.window_ms)),
             detector: Detector::default(),
             reach: Reach::default(),
             rows: Cache::default(),
@@ -183,12 +198,8 @@
         self.cell = cell(&self.local.entry, &entries, &domains);
     }
 
-    /// Returns the position of this entry among the entries that divide the limits.
-    pub(crate) fn position(&self) -> Position {
-        let before = self.peers.keys().filter(|name| **name < self.local.entry);
-        Position {
-            rank: before.count(),
-            entries: self.peers.len() + 1,
-        }
+    /// Returns the number of entries that this one knows, itself included.
+    pub(crate) fn entry_count(&self) -> usize {
+        self.peers.len() + 1
     }
 }
--- a/crates/cyclamen-gateway/src/node/targets.rs
+++ b/crates/cyclamen-gateway/src/node/targets.rs
@@ -6,6 +6,7 @@
 use cyclamen_directory::service::{Engine, Service};
 use cyclamen_directory::{Instance, Record};
 use cyclamen_dispatch::{Forecast, Target};
+use cyclamen_quota::Rate;
 use cyclamen_replica::{Group, Groups, State as GroupState};
 use cyclamen_types::{Time, group, instance, model, pool};
 
@@ -159,6 +160,7 @@
         }
         let cold_for = record.remaining_cold(now);
         let cold = service.cold_per_second.filter(|_| !cold_for.is_zero());
+        let cold = cold.and_then(Rate::new);
         Some(Target {
             instance: instance.id.clone(),
             incarnation: instance.incarnation,
@@ -170,7 +172,8 @@
             zone: instance.zone.clone(),
             domain: instance.domain.clone(),
             slots: instance.slots,
-            cold: cold.map(|per_second| (now + cold_for, per_second)),
+            cold: cold.map(|rate| (now + cold_for, rate)),
+            limit: self.limits.get(&instance.id, instance.incarnation),
             doubtful: self.is_doubted(instance),
         })
     }
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -295,6 +295,7 @@
     /// time, and containments that have expired.
     pub(crate) fn remove_expired(&mut self, now: Time, platform: &dyn Platform) {
         self.end_recovery(now, platform);
+        self.expire_limits();
         let restored = self.detector.expire(now);
         let departed = self.registry.expire(now);
         self.strikes.release_expired(now);
--- a/crates/cyclamen-gateway/src/run.rs
+++ b/crates/cyclamen-gateway/src/run.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_signal::{Signal, Signals};
-use cyclamen_peer::{Allowed, Gossip, Service};
+use cyclamen_peer::{Allowed, Gossip, PermitRequest, PermitResponse, Service};
 use cyclamen_types::Time;
 use eyre::WrapErr;
 use futures::StreamExt;
@@ -27,13 +27,18 @@
 /// The timeout for resigning the lease.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Responds to gossip from other entries.
-struct GossipService(Arc<Node>);
+/// Responds to the calls of other entries.
+struct PeerService(Arc<Node>);
 
-impl Service for GossipService {
+impl Service for PeerService {
     fn gossip(&self, received: Gossip) -> Gossip {
         tasks::respond_gossip(&self.0, received)
     }
+
+    fn permit(&self, request: PermitRequest) -> PermitResponse {
+        let now = self.0.now();
+        self.0.state().respond_permit(now, request)
+    }
 }
 
 /// A running gateway.
@@ -59,7 +64,7 @@
         allowed: Allowed::Anyone,
     };
     let node = Node::new(settings, platform, Metrics::new()?);
-    let peers = cyclamen_peer::start(options, Arc::new(GossipService(node.clone())))
+    let peers = cyclamen_peer::start(options, Arc::new(PeerService(node.clone())))
         .wrap_err("peer_listen cannot be bound")?;
     node.set_peers(peers);
     let local = node.state().local.clone();
--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -21,7 +21,7 @@
 use crate::settings::millis;
 
 pub(crate) use crash::{Suspect, confirm as confirm_crash};
-pub(crate) use gossip::{gossip_now, respond as respond_gossip};
+pub(crate) use gossip::{SMALL_FLEET_PEERS, gossip_now, respond as respond_gossip};
 pub(crate) use lease::resign;
 pub(crate) use notices::record_notices;
 pub(crate) use probe::probe_group;
--- a/crates/cyclamen-gateway/src/tasks/follow.rs
+++ b/crates/cyclamen-gateway/src/tasks/follow.rs
@@ -114,7 +114,7 @@
         polls.retry()
     };
     let followed = node.platform.follow(table, after, poll).await;
-    node.metrics.record_store_call("follow", followed.is_ok());
+    store::record_call(node, "follow", followed.is_ok());
     store::observe_era(node);
     match followed? {
         Changes::Rows(snapshot) => {
@@ -140,7 +140,7 @@
 fn batch_window(node: &Arc<Node>, table: Table) -> Duration {
     let window = match table {
         Table::Instances => {
-            let entries = node.state().position().entries;
+            let entries = node.state().entry_count();
             let entries = u32::try_from(entries).unwrap_or(u32::MAX);
             BATCH_WINDOW_PER_ENTRY
                 .saturating_mul(entries)
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -16,7 +16,7 @@
 use crate::tasks::probe::{INITIAL_PROBES, probe_worker};
 
 /// The maximum number of other entries at which every entry gossips with all others.
-pub(super) const SMALL_FLEET_PEERS: usize = 8;
+pub(crate) const SMALL_FLEET_PEERS: usize = 8;
 /// The number of random gossip partners in each round in a large fleet.
 const RANDOM_PARTNERS: usize = 2;
 /// The number of gossip partners within the cell in each round.
@@ -173,6 +173,7 @@
         left |= state.record_leaving(now, worker);
     }
     let sender = received.sender.entry;
+    state.record_limit_reports(now, &sender, received.limits);
     state
         .dispatcher
         .record_peer_loads(now, sender.as_str(), received.loads);
--- a/crates/cyclamen-gateway/src/tasks/gossip/message.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip/message.rs
@@ -98,5 +98,10 @@
         handover: state.handover_address(),
         unserved: state.unserved(),
         cut_off: state.lost(),
+        limits: state.limits_to_gossip(now),
+        issues: state.issued_scopes(now),
+        uses_permits: true,
+        is_draining: state.draining,
+        store_age: now.since(state.store_answered_at),
     }
 }
--- a/crates/cyclamen-gateway/src/tasks/lease.rs
+++ b/crates/cyclamen-gateway/src/tasks/lease.rs
@@ -152,6 +152,7 @@
 }
 
 fn record_peers(node: &Node, snapshot: &Snapshot) {
+    let now = node.now();
     let mut state = node.state();
     let local = state.local.entry.clone();
     let mut listed = Vec::new();
@@ -182,6 +183,8 @@
     state
         .peers
         .retain(|name, _| is_recovering || listed.contains(name));
+    let count = state.entry_count();
+    state.members.record(now, count);
     state.update_cell();
 }
 
--- a/crates/cyclamen-gateway/src/tasks/notices.rs
+++ b/crates/cyclamen-gateway/src/tasks/notices.rs
@@ -15,7 +15,7 @@
     worker: &Start,
     sent_at: Time,
     notices: Notices,
-    source: LimitSource,
+    source: LimitSource<'_>,
 ) {
     let now = node.now();
     let mut state = node.state();
--- a/crates/cyclamen-gateway/src/tasks/ownership.rs
+++ b/crates/cyclamen-gateway/src/tasks/ownership.rs
@@ -13,7 +13,7 @@
 use cyclamen_types::{Time, domain, entry, group};
 use serde::{Deserialize, Serialize};
 
-use crate::node::{Node, OwnerRow, State};
+use crate::node::{Node, OwnerRow, State, service_scope};
 use crate::platform::{Commit, Error, Snapshot, Table, Transaction};
 use crate::settings::millis;
 use crate::tasks::ownership::choice::Choice;
@@ -108,9 +108,28 @@
     domains.collect()
 }
 
+/// Returns the domains, and the names under which services without domains are owned so that one
+/// entry issues permits for their workers.
+fn scopes(state: &State) -> BTreeSet<domain::Name> {
+    let plain = state.catalog.services().filter(|s| s.engine.is_none());
+    let mut scopes = domains(state);
+    scopes.extend(plain.filter_map(|service| service_scope(service)));
+    scopes
+}
+
+/// Records from whom a domain was taken over.
+fn record_takeover(state: &mut State, now: Time, name: &domain::Name) {
+    let former = state.ownership.owner_rows.get(name);
+    if former.is_some_and(|row| row.owner.entry != state.local.entry) {
+        state.ownership.taken_over_at.insert(name.clone(), now);
+    } else {
+        state.ownership.taken_over_at.remove(name);
+    }
+}
+
 /// Ranks the candidates for the ownership of each domain if entries or domains have changed.
 fn update_candidates(state: &mut State) {
-    let domains = domains(state);
+    let domains = scopes(state);
     let local = &state.local.entry;
     let before = state.peers.range(..local.clone()).map(|(name, _)| name);
     let after = state.peers.range(local.clone()..).map(|(name, _)| name);
@@ -235,6 +254,7 @@
             log::info!("event=domain_taken domain={name} revision={revision}");
             let mut state = node.state();
             let owner = state.local.clone();
+            record_takeover(&mut state, node.now(), name);
             let row = OwnerRow { owner, revision };
             state.ownership.owner_rows.insert(name.clone(), row);
             let fence = first_fence(&state, name, revision);
--- a/crates/cyclamen-gateway/src/tasks/ownership/choice.rs
+++ b/crates/cyclamen-gateway/src/tasks/ownership/choice.rs
@@ -109,6 +109,7 @@
 
     fn is_alive(&self, entry: &entry::Name) -> bool {
         let peer = self.state.peers.get(entry);
+        let peer = peer.filter(|peer| !peer.knowledge.is_draining);
         let last_heard = peer.and_then(|peer| peer.knowledge.heard_at);
         *entry == self.state.local.entry
             || last_heard.is_some_and(|at| self.now.since(at) < self.silence)
--- a/crates/cyclamen-gateway/src/tasks/store.rs
+++ b/crates/cyclamen-gateway/src/tasks/store.rs
@@ -10,7 +10,7 @@
 /// Reads a complete table.
 pub(super) async fn read(node: &Node, table: Table) -> Result<Snapshot, Error> {
     let result = node.platform.read(table).await;
-    node.metrics.record_store_call("read", result.is_ok());
+    record_call(node, "read", result.is_ok());
     observe_era(node);
     let result = result.and_then(|snapshot| {
         let is_current = snapshot.as_of.era == node.state().era;
@@ -25,7 +25,7 @@
 /// Commits a transaction; the caller logs a failure.
 pub(super) async fn commit(node: &Node, transaction: Transaction) -> Result<Commit, Error> {
     let result = node.platform.commit(transaction).await;
-    node.metrics.record_store_call("commit", result.is_ok());
+    record_call(node, "commit", result.is_ok());
     observe_era(node);
     match result {
         Ok(Commit::Done(revision)) if revision.era < node.state().era => Err(Error::EraEnded),
@@ -33,6 +33,14 @@
     }
 }
 
+/// Counts a call to the store and records whether the store answered it.
+pub(super) fn record_call(node: &Node, call: &'static str, ok: bool) {
+    node.metrics.record_store_call(call, ok);
+    if ok {
+        node.state().store_answered_at = node.now();
+    }
+}
+
 /// Begins an era of the store that one of its responses has told.
 pub(super) fn observe_era(node: &Node) {
     let era = node.platform.era();
--- a/crates/cyclamen-lease/src/holder.rs
+++ b/crates/cyclamen-lease/src/holder.rs
@@ -27,6 +27,11 @@
         self.expires_at.is_some_and(|expires_at| now < expires_at)
     }
 
+    /// Returns when the lease expires or has expired, if it was obtained and not lost.
+    pub fn expires_at(&self) -> Option<Time> {
+        self.expires_at
+    }
+
     /// Starts a renewal, which the caller sends, if one is due.
     pub fn start_renewal(&mut self, now: Time) -> Option<Renewal> {
         if now < self.next_renewal_at {
--- a/crates/cyclamen-peer/schema/peer.capnp
+++ b/crates/cyclamen-peer/schema/peer.capnp
@@ -95,6 +95,41 @@
   # Configured services and models for which the sender has no worker to send requests to.
   cutOff @17 :List(Text);
   # Services whose workers the sender doesn't reach although others do.
+  limits @18 :List(Limit);
+  # Rate limits of workers that the sender knows of.
+  issues @19 :List(Text);
+  # The domains, and services without domains, for whose workers the sender issues permits.
+  usesPermits @20 :Bool;
+  # Whether the sender sends to a limited worker only with a permit.
+  draining @21 :Bool;
+  storeAgeMs @22 :UInt64;
+  # The time since the store last answered the sender.
+}
+
+struct Limit {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  perSecond @2 :Float64;
+  lifted @3 :Bool;
+  # Whether the worker names no limit any more.
+  ageMs @4 :UInt64;
+}
+
+struct PermitAsk {
+  scope @0 :Text;
+  # The domain, or the service without domains, of the worker.
+  instance @1 :Text;
+  incarnation @2 :UInt64;
+  perSecond @3 :Float64;
+  priority @4 :UInt8;
+}
+
+struct PermitAnswer {
+  union {
+    notIssuer @0 :Void;
+    issued @1 :Void;
+    deniedMs @2 :UInt64;
+  }
 }
 
 struct Ask {
@@ -160,4 +195,5 @@
   admit @1 (ask :Ask) -> (answer :Answer);
   release @2 (releases :List(Release)) -> ();
   fate @3 (attempt :UInt64) -> (fate :Fate);
+  permit @4 (ask :PermitAsk) -> (answer :PermitAnswer);
 }
--- a/crates/cyclamen-peer/src/client.rs
+++ b/crates/cyclamen-peer/src/client.rs
@@ -17,7 +17,9 @@
 use smol::{LocalExecutor, Timer};
 
 use crate::error::Error;
-use crate::message::{AdmissionRequest, AdmissionResponse, Gossip, Release};
+use crate::message::{
+    AdmissionRequest, AdmissionResponse, Gossip, PermitRequest, PermitResponse, Release,
+};
 use crate::network::network;
 use crate::peer_capnp as wire;
 use crate::traffic::Traffic;
@@ -34,6 +36,10 @@
     ),
     Release(Vec<Release>, oneshot::Sender<Result<(), Error>>),
     Progress(Attempt, oneshot::Sender<Result<Progress, Error>>),
+    Permit(
+        PermitRequest,
+        oneshot::Sender<Result<PermitResponse, Error>>,
+    ),
 }
 
 /// A call with the address of the peer and a timeout.
@@ -90,6 +96,12 @@
                 })
                 .await;
             }
+            Call::Permit(request, reply_to) => {
+                self.exchange(address, timeout, reply_to, |entry| {
+                    request_permit(entry, request)
+                })
+                .await;
+            }
         }
     }
 
@@ -186,3 +198,13 @@
     let response = request.send().promise.await?;
     Ok(decode::progress(response.get()?.get_fate()?))
 }
+
+async fn request_permit(
+    entry: wire::entry::Client,
+    permit: PermitRequest,
+) -> Result<PermitResponse, capnp::Error> {
+    let mut request = entry.permit_request();
+    encode::permit_request(request.get().init_ask(), &permit);
+    let response = request.send().promise.await?;
+    decode::permit_response(response.get()?.get_answer()?)
+}
--- a/crates/cyclamen-peer/src/decode.rs
+++ b/crates/cyclamen-peer/src/decode.rs
@@ -11,6 +11,7 @@
 use cyclamen_directory::catalog::Version;
 use cyclamen_dispatch::Load;
 use cyclamen_domain::{Ending, Grant, Owner};
+use cyclamen_quota::{Ask, Decision, Rate, Report};
 use cyclamen_replica::Start;
 use cyclamen_route::balancer::Summary;
 use cyclamen_route::containment::{Answer, Crash, Part, Strike};
@@ -18,7 +19,8 @@
 use cyclamen_types::{entry, group, instance};
 
 use crate::message::{
-    Admission, AdmissionRequest, AdmissionResponse, Capability, Gossip, PoolSummary, Release,
+    Admission, AdmissionRequest, AdmissionResponse, Capability, Gossip, PermitRequest,
+    PermitResponse, PoolSummary, Release,
 };
 use crate::peer_capnp as wire;
 
@@ -162,6 +164,60 @@
             .iter()
             .map(|name| text(name?))
             .collect::<Result<_, _>>()?,
+        limits: from
+            .get_limits()?
+            .iter()
+            .map(limit)
+            .collect::<Result<_, _>>()?,
+        issues: from
+            .get_issues()?
+            .iter()
+            .map(|name| text(name?))
+            .collect::<Result<_, _>>()?,
+        uses_permits: from.get_uses_permits(),
+        is_draining: from.get_draining(),
+        store_age: Duration::from_millis(from.get_store_age_ms()),
+    })
+}
+
+fn rate(per_second: f64) -> Result<Rate, Error> {
+    Rate::new(per_second).ok_or_else(|| Error::failed(format!("not a rate: {per_second}")))
+}
+
+fn limit(from: wire::limit::Reader<'_>) -> Result<Report, Error> {
+    Ok(Report {
+        instance: text(from.get_instance()?)?,
+        incarnation: instance::Incarnation(from.get_incarnation()),
+        limit: if from.get_lifted() {
+            None
+        } else {
+            Some(rate(from.get_per_second())?)
+        },
+        age: Duration::from_millis(from.get_age_ms()),
+    })
+}
+
+pub(crate) fn permit_request(from: wire::permit_ask::Reader<'_>) -> Result<PermitRequest, Error> {
+    Ok(PermitRequest {
+        scope: text(from.get_scope()?)?,
+        ask: Ask {
+            instance: text(from.get_instance()?)?,
+            incarnation: instance::Incarnation(from.get_incarnation()),
+            rate: rate(from.get_per_second())?,
+            priority: from.get_priority(),
+        },
+    })
+}
+
+pub(crate) fn permit_response(
+    from: wire::permit_answer::Reader<'_>,
+) -> Result<PermitResponse, Error> {
+    Ok(match from.which()? {
+        wire::permit_answer::NotIssuer(()) => PermitResponse::NotIssuer,
+        wire::permit_answer::Issued(()) => PermitResponse::Decided(Decision::Issued),
+        wire::permit_answer::DeniedMs(ms) => {
+            PermitResponse::Decided(Decision::Denied(Duration::from_millis(ms)))
+        }
     })
 }
 
--- a/crates/cyclamen-peer/src/encode.rs
+++ b/crates/cyclamen-peer/src/encode.rs
@@ -6,12 +6,14 @@
 use cyclamen_claim::Progress;
 use cyclamen_dispatch::Load;
 use cyclamen_domain::{Ending, Grant, Owner};
+use cyclamen_quota::{Decision, Report};
 use cyclamen_replica::Start;
 use cyclamen_route::containment::{Answer, Strike};
 use cyclamen_tables::routes::Priority;
 
 use crate::message::{
-    Admission, AdmissionRequest, AdmissionResponse, Capability, Gossip, PoolSummary, Release,
+    Admission, AdmissionRequest, AdmissionResponse, Capability, Gossip, PermitRequest,
+    PermitResponse, PoolSummary, Release,
 };
 use crate::peer_capnp as wire;
 
@@ -130,9 +132,44 @@
     for (i, each) in (0..).zip(&gossip.cut_off) {
         cut_off.set(i, each.as_str());
     }
+    let mut limits = to.reborrow().init_limits(count(gossip.limits.len()));
+    for (i, each) in (0..).zip(&gossip.limits) {
+        limit(limits.reborrow().get(i), each);
+    }
+    let mut issues = to.reborrow().init_issues(count(gossip.issues.len()));
+    for (i, each) in (0..).zip(&gossip.issues) {
+        issues.set(i, each.as_str());
+    }
+    to.set_uses_permits(gossip.uses_permits);
+    to.set_draining(gossip.is_draining);
+    to.set_store_age_ms(millis(gossip.store_age));
     delta(to.init_delta(), &gossip.delta);
 }
 
+fn limit(mut to: wire::limit::Builder<'_>, report: &Report) {
+    to.set_instance(report.instance.as_str());
+    to.set_incarnation(report.incarnation.0);
+    to.set_lifted(report.limit.is_none());
+    to.set_per_second(report.limit.unwrap_or_default().per_second());
+    to.set_age_ms(millis(report.age));
+}
+
+pub(crate) fn permit_request(mut to: wire::permit_ask::Builder<'_>, request: &PermitRequest) {
+    to.set_scope(request.scope.as_str());
+    to.set_instance(request.ask.instance.as_str());
+    to.set_incarnation(request.ask.incarnation.0);
+    to.set_per_second(request.ask.rate.per_second());
+    to.set_priority(request.ask.priority);
+}
+
+pub(crate) fn permit_response(mut to: wire::permit_answer::Builder<'_>, response: PermitResponse) {
+    match response {
+        PermitResponse::NotIssuer => to.set_not_issuer(()),
+        PermitResponse::Decided(Decision::Issued) => to.set_issued(()),
+        PermitResponse::Decided(Decision::Denied(wait)) => to.set_denied_ms(millis(wait)),
+    }
+}
+
 fn capability(mut to: wire::capability::Builder<'_>, capability: &Capability) {
     to.set_service(capability.service.as_str());
     if let Some(model) = &capability.model {
--- a/crates/cyclamen-peer/src/lib.rs
+++ b/crates/cyclamen-peer/src/lib.rs
@@ -21,7 +21,9 @@
 mod peer_capnp;
 
 pub use error::Error;
-pub use message::{AdmissionRequest, AdmissionResponse, Capability, Gossip, Release};
+pub use message::{
+    AdmissionRequest, AdmissionResponse, Capability, Gossip, PermitRequest, PermitResponse, Release,
+};
 pub use server::{BoxFuture, Service};
 pub use thread::{Allowed, Options, Peers, start};
 pub use traffic::Traffic;
--- a/crates/cyclamen-peer/src/message.rs
+++ b/crates/cyclamen-peer/src/message.rs
@@ -8,6 +8,7 @@
 use cyclamen_directory::catalog::Version;
 use cyclamen_dispatch::Load;
 use cyclamen_domain::{Ending, Grant, Owner};
+use cyclamen_quota::{Ask, Decision, Report};
 use cyclamen_replica::Start;
 use cyclamen_route::balancer::Summary;
 use cyclamen_route::containment::{Answer, Strike};
@@ -50,6 +51,35 @@
     pub unserved: Vec<Capability>,
     /// The services whose workers the sender does not reach.
     pub cut_off: Vec<pool::Service>,
+    /// Rate limits of workers that the sender knows of.
+    pub limits: Vec<Report>,
+    /// The scopes for whose workers the sender issues permits.
+    pub issues: Vec<domain::Name>,
+    /// Whether the sender sends to a limited worker only with a permit; builds without permits do
+    /// not say so.
+    pub uses_permits: bool,
+    /// Whether the sender is draining.
+    pub is_draining: bool,
+    /// The time since the store last answered the sender.
+    pub store_age: Duration,
+}
+
+/// A request for a permit to send one request to a limited worker.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PermitRequest {
+    /// The fabric domain of the worker, or the scope of its service without domains.
+    pub scope: domain::Name,
+    /// What is asked for.
+    pub ask: Ask,
+}
+
+/// The response to a request for a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PermitResponse {
+    /// The receiver issues no permits for the scope.
+    NotIssuer,
+    /// The decision.
+    Decided(Decision),
 }
 
 /// A service, or a model of it.
--- a/crates/cyclamen-peer/src/peer_capnp.rs
+++ b/crates/cyclamen-peer/src/peer_capnp.rs
@@ -2779,11 +2779,39 @@
         pub fn has_cut_off(&self) -> bool {
             !self.reader.get_pointer_field(11).is_null()
         }
+        #[inline]
+        pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::limit::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(12), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.reader.get_pointer_field(12).is_null()
+        }
+        #[inline]
+        pub fn get_issues(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(13), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_issues(&self) -> bool {
+            !self.reader.get_pointer_field(13).is_null()
+        }
+        #[inline]
+        pub fn get_uses_permits(self) -> bool {
+            self.reader.get_bool_field(384)
+        }
+        #[inline]
+        pub fn get_draining(self) -> bool {
+            self.reader.get_bool_field(385)
+        }
+        #[inline]
+        pub fn get_store_age_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(7)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 12 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 14 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3073,6 +3101,62 @@
         pub fn has_cut_off(&self) -> bool {
             !self.builder.is_pointer_field_null(11)
         }
+        #[inline]
+        pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::limit::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(12), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_limits(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::limit::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(12), value, false)
+        }
+        #[inline]
+        pub fn init_limits(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::limit::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(12), size)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.builder.is_pointer_field_null(12)
+        }
+        #[inline]
+        pub fn get_issues(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(13), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_issues(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(13), value, false)
+        }
+        #[inline]
+        pub fn init_issues(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(13), size)
+        }
+        #[inline]
+        pub fn has_issues(&self) -> bool {
+            !self.builder.is_pointer_field_null(13)
+        }
+        #[inline]
+        pub fn get_uses_permits(self) -> bool {
+            self.builder.get_bool_field(384)
+        }
+        #[inline]
+        pub fn set_uses_permits(&mut self, value: bool)  {
+            self.builder.set_bool_field(384, value);
+        }
+        #[inline]
+        pub fn get_draining(self) -> bool {
+            self.builder.get_bool_field(385)
+        }
+        #[inline]
+        pub fn set_draining(&mut self, value: bool)  {
+            self.builder.set_bool_field(385, value);
+        }
+        #[inline]
+        pub fn get_store_age_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(7)
+        }
+        #[inline]
+        pub fn set_store_age_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(7, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3090,149 +3174,184 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 332] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 418] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(52, 153, 207, 91, 50, 249, 244, 177),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 6, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
-            ::capnp::word(12, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 247, 3, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 15, 5, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 78, 101, 119, 115, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(169, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(193, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(217, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(225, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(249, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(253, 2, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(9, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(17, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(25, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(45, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 2, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(65, 3, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(73, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(97, 3, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(18, 0, 0, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 3, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(19, 0, 0, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 3, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 128, 1, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 3, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(21, 0, 0, 0, 129, 1, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(22, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(238, 160, 2, 162, 185, 8, 188, 205),
@@ -3423,6 +3542,57 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 8, 44, 215, 249, 129, 169, 207),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 115, 117, 101, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 115, 101, 115, 80, 101, 114, 109),
+            ::capnp::word(105, 116, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 114, 97, 105, 110, 105, 110, 103),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 111, 114, 101, 65, 103, 101),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3444,6 +3614,11 @@
                 15 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 16 => <::capnp::struct_list::Owned<crate::peer_capnp::capability::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 17 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                18 => <::capnp::struct_list::Owned<crate::peer_capnp::limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                19 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                20 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                21 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                22 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3457,14 +3632,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,1,9,11,17,4,15,13,5,7,10,14,0,12,3,2,6,16];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[8,1,9,11,17,4,21,15,19,13,18,5,7,10,14,0,22,12,3,2,6,16,20];
         pub(crate) const TYPE_ID: u64 = 0xb1f4_f932_5bcf_9934;
     }
 }
 
-pub mod ask {
+pub mod limit {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -3526,74 +3701,34 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_domain(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_instance(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_domain(&self) -> bool {
+        pub fn has_instance(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_pool(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_pool(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn get_team(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_team(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
-        }
-        #[inline]
-        pub fn get_share(self) -> u32 {
-            self.reader.get_data_field::<u32>(0)
-        }
-        #[inline]
-        pub fn get_interactive(self) -> bool {
-            self.reader.get_bool_field(32)
-        }
-        #[inline]
-        pub fn get_deadline_ms(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn get_suspect(self) -> bool {
-            self.reader.get_bool_field(33)
-        }
-        #[inline]
-        pub fn get_patient(self) -> bool {
-            self.reader.get_bool_field(34)
-        }
-        #[inline]
-        pub fn get_holder(self) -> ::capnp::Result<crate::peer_capnp::owner::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_holder(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_traceparent(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        pub fn get_per_second(self) -> f64 {
+            self.reader.get_data_field::<f64>(1)
         }
         #[inline]
-        pub fn has_traceparent(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
+        pub fn get_lifted(self) -> bool {
+            self.reader.get_bool_field(128)
         }
         #[inline]
-        pub fn get_ticket(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
+        pub fn get_age_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3644,258 +3779,119 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_domain(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_instance(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_domain(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_instance(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_domain(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_instance(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_domain(&self) -> bool {
+        pub fn has_instance(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_pool(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_pool(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
-        }
-        #[inline]
-        pub fn init_pool(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(1).init_text(size)
-        }
-        #[inline]
-        pub fn has_pool(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn get_team(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_team(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
-        }
-        #[inline]
-        pub fn init_team(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(2).init_text(size)
-        }
-        #[inline]
-        pub fn has_team(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
-        }
-        #[inline]
-        pub fn get_share(self) -> u32 {
-            self.builder.get_data_field::<u32>(0)
-        }
-        #[inline]
-        pub fn set_share(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(0, value);
-        }
-        #[inline]
-        pub fn get_interactive(self) -> bool {
-            self.builder.get_bool_field(32)
-        }
-        #[inline]
-        pub fn set_interactive(&mut self, value: bool)  {
-            self.builder.set_bool_field(32, value);
-        }
-        #[inline]
-        pub fn get_deadline_ms(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_deadline_ms(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_suspect(self) -> bool {
-            self.builder.get_bool_field(33)
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn set_suspect(&mut self, value: bool)  {
-            self.builder.set_bool_field(33, value);
+        pub fn get_per_second(self) -> f64 {
+            self.builder.get_data_field::<f64>(1)
         }
         #[inline]
-        pub fn get_patient(self) -> bool {
-            self.builder.get_bool_field(34)
+        pub fn set_per_second(&mut self, value: f64)  {
+            self.builder.set_data_field::<f64>(1, value);
         }
         #[inline]
-        pub fn set_patient(&mut self, value: bool)  {
-            self.builder.set_bool_field(34, value);
+        pub fn get_lifted(self) -> bool {
+            self.builder.get_bool_field(128)
         }
         #[inline]
-        pub fn get_holder(self) -> ::capnp::Result<crate::peer_capnp::owner::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        pub fn set_lifted(&mut self, value: bool)  {
+            self.builder.set_bool_field(128, value);
         }
         #[inline]
-        pub fn set_holder(&mut self, value: crate::peer_capnp::owner::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        pub fn get_age_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn init_holder(self, ) -> crate::peer_capnp::owner::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), 0)
+        pub fn set_age_ms(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
         }
-        #[inline]
-        pub fn has_holder(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
-        }
-        #[inline]
-        pub fn get_traceparent(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_traceparent(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false).unwrap()
-        }
-        #[inline]
-        pub fn init_traceparent(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(4).init_text(size)
-        }
-        #[inline]
-        pub fn has_traceparent(&self) -> bool {
-            !self.builder.is_pointer_field_null(4)
-        }
-        #[inline]
-        pub fn get_ticket(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn set_ticket(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
-        }
-    }
-
-    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-            Self { _typeless: typeless,  }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
         }
     }
     impl Pipeline  {
-        pub fn get_holder(&self) -> crate::peer_capnp::owner::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(3))
-        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 184] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(190, 171, 95, 203, 67, 78, 169, 223),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(124, 8, 44, 215, 249, 129, 169, 207),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 65, 115, 107, 0, 0),
+            ::capnp::word(110, 112, 58, 76, 105, 109, 105, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 32, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 98, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 90, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 33, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 34, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 98, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(10, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 1, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(100, 111, 109, 97, 105, 110, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 111, 111, 108, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 101, 97, 109, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3903,25 +3899,8 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 104, 97, 114, 101, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 110, 116, 101, 114, 97, 99, 116),
-            ::capnp::word(105, 118, 101, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 101, 97, 100, 108, 105, 110, 101),
-            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3929,15 +3908,16 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 114, 83, 101, 99, 111, 110),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 97, 116, 105, 101, 110, 116, 0),
+            ::capnp::word(108, 105, 102, 116, 101, 100, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3945,24 +3925,7 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 111, 108, 100, 101, 114, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(238, 160, 2, 162, 185, 8, 188, 205),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 114, 97, 99, 101, 112, 97, 114),
-            ::capnp::word(101, 110, 116, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 105, 99, 107, 101, 116, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3974,16 +3937,10 @@
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                7 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                8 => <crate::peer_capnp::owner::Owned as ::capnp::introspect::Introspect>::introspect(),
-                9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3997,14 +3954,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,0,8,4,7,1,3,6,2,10,9];
-        pub(crate) const TYPE_ID: u64 = 0xdfa9_4e43_cb5f_abbe;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,1,0,3,2];
+        pub(crate) const TYPE_ID: u64 = 0xcfa9_81f9_d72c_087c;
     }
 }
 
-pub mod grant {
+pub mod permit_ask {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4066,22 +4023,14 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_ticket(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_group(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_scope(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_group(&self) -> bool {
+        pub fn has_scope(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_fence(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-        #[inline]
         pub fn get_instance(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
@@ -4090,22 +4039,22 @@
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn has_address(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+        pub fn get_per_second(self) -> f64 {
+            self.reader.get_data_field::<f64>(1)
         }
         #[inline]
-        pub fn get_start_within_ms(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
+        pub fn get_priority(self) -> u8 {
+            self.reader.get_data_field::<u8>(16)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4156,38 +4105,22 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_ticket(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn set_ticket(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
-        }
-        #[inline]
-        pub fn get_group(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_scope(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_group(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_scope(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_group(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_scope(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_group(&self) -> bool {
+        pub fn has_scope(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_fence(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_fence(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
-        }
-        #[inline]
         pub fn get_instance(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
@@ -4204,28 +4137,28 @@
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_address(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn init_address(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(2).init_text(size)
+        pub fn get_per_second(self) -> f64 {
+            self.builder.get_data_field::<f64>(1)
         }
         #[inline]
-        pub fn has_address(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+        pub fn set_per_second(&mut self, value: f64)  {
+            self.builder.set_data_field::<f64>(1, value);
         }
         #[inline]
-        pub fn get_start_within_ms(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
+        pub fn get_priority(self) -> u8 {
+            self.builder.get_data_field::<u8>(16)
         }
         #[inline]
-        pub fn set_start_within_ms(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
+        pub fn set_priority(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(16, value);
         }
     }
 
@@ -4238,75 +4171,69 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(79, 128, 123, 225, 115, 29, 57, 179),
+            ::capnp::word(168, 117, 159, 23, 221, 35, 85, 237),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 71, 114, 97, 110, 116),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 80, 101, 114, 109, 105),
+            ::capnp::word(116, 65, 115, 107, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 99, 111, 112, 101, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(116, 105, 99, 107, 101, 116, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(103, 114, 111, 117, 112, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4314,7 +4241,8 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(102, 101, 110, 99, 101, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4322,41 +4250,32 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 114, 83, 101, 99, 111, 110),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 105, 111, 114, 105, 116, 121),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 116, 97, 114, 116, 87, 105, 116),
-            ::capnp::word(104, 105, 110, 77, 115, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4370,15 +4289,15 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,1,3,5,0];
-        pub(crate) const TYPE_ID: u64 = 0xb339_1d73_e17b_804f;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,3,4,0];
+        pub(crate) const TYPE_ID: u64 = 0xed55_23dd_179f_75a8;
     }
 }
 
-pub mod answer {
-    pub use self::Which::{Granted,NotServing,NotOwner,BusyMs,LateMs};
+pub mod permit_answer {
+    pub use self::Which::{NotIssuer,Issued,DeniedMs};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -4432,7 +4351,7 @@
         }
     }
 
-    impl <'a,> Reader<'a,>  {
+    impl <> Reader<'_,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -4441,47 +4360,20 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn has_granted(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 0 { return false; }
-            !self.reader.get_pointer_field(0).is_null()
-        }
-        #[inline]
-        pub fn get_summary(self) -> ::capnp::Result<crate::peer_capnp::summary::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_summary(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn get_has_summary(self) -> bool {
-            self.reader.get_bool_field(16)
-        }
-        #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+        pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
-                    ::core::result::Result::Ok(Granted(
-                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ::core::result::Result::Ok(NotIssuer(
+                        ()
                     ))
                 }
                 1 => {
-                    ::core::result::Result::Ok(NotServing(
+                    ::core::result::Result::Ok(Issued(
                         ()
                     ))
                 }
                 2 => {
-                    ::core::result::Result::Ok(NotOwner(
-                        ()
-                    ))
-                }
-                3 => {
-                    ::core::result::Result::Ok(BusyMs(
-                        self.reader.get_data_field::<u64>(1)
-                    ))
-                }
-                4 => {
-                    ::core::result::Result::Ok(LateMs(
+                    ::core::result::Result::Ok(DeniedMs(
                         self.reader.get_data_field::<u64>(1)
                     ))
                 }
@@ -4492,7 +4384,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4543,87 +4435,33 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn set_granted(&mut self, value: crate::peer_capnp::grant::Reader<'_>) -> ::capnp::Result<()> {
-            self.builder.set_data_field::<u16>(0, 0);
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-        }
-        #[inline]
-        pub fn init_granted(self, ) -> crate::peer_capnp::grant::Builder<'a> {
+        pub fn set_not_issuer(&mut self, _value: ())  {
             self.builder.set_data_field::<u16>(0, 0);
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
-        }
-        #[inline]
-        pub fn has_granted(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 0 { return false; }
-            !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn set_not_serving(&mut self, _value: ())  {
+        pub fn set_issued(&mut self, _value: ())  {
             self.builder.set_data_field::<u16>(0, 1);
         }
         #[inline]
-        pub fn set_not_owner(&mut self, _value: ())  {
+        pub fn set_denied_ms(&mut self, value: u64)  {
             self.builder.set_data_field::<u16>(0, 2);
-        }
-        #[inline]
-        pub fn set_busy_ms(&mut self, value: u64)  {
-            self.builder.set_data_field::<u16>(0, 3);
-            self.builder.set_data_field::<u64>(1, value);
-        }
-        #[inline]
-        pub fn set_late_ms(&mut self, value: u64)  {
-            self.builder.set_data_field::<u16>(0, 4);
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_summary(self) -> ::capnp::Result<crate::peer_capnp::summary::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_summary(&mut self, value: crate::peer_capnp::summary::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-        }
-        #[inline]
-        pub fn init_summary(self, ) -> crate::peer_capnp::summary::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
-        }
-        #[inline]
-        pub fn has_summary(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn get_has_summary(self) -> bool {
-            self.builder.get_bool_field(16)
-        }
-        #[inline]
-        pub fn set_has_summary(&mut self, value: bool)  {
-            self.builder.set_bool_field(16, value);
-        }
-        #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+        pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
-                    ::core::result::Result::Ok(Granted(
-                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ::core::result::Result::Ok(NotIssuer(
+                        ()
                     ))
                 }
                 1 => {
-                    ::core::result::Result::Ok(NotServing(
+                    ::core::result::Result::Ok(Issued(
                         ()
                     ))
                 }
                 2 => {
-                    ::core::result::Result::Ok(NotOwner(
-                        ()
-                    ))
-                }
-                3 => {
-                    ::core::result::Result::Ok(BusyMs(
-                        self.builder.get_data_field::<u64>(1)
-                    ))
-                }
-                4 => {
-                    ::core::result::Result::Ok(LateMs(
+                    ::core::result::Result::Ok(DeniedMs(
                         self.builder.get_data_field::<u64>(1)
                     ))
                 }
@@ -4639,88 +4477,49 @@
         }
     }
     impl Pipeline  {
-        pub fn get_summary(&self) -> crate::peer_capnp::summary::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
-        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(202, 54, 26, 56, 251, 106, 41, 197),
+            ::capnp::word(51, 200, 138, 120, 149, 114, 194, 177),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 5, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 3, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
-            ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 80, 101, 114, 109, 105),
+            ::capnp::word(116, 65, 110, 115, 119, 101, 114, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 253, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 252, 255, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 251, 255, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 16, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 90, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(79, 128, 123, 225, 115, 29, 57, 179),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(110, 111, 116, 83, 101, 114, 118, 105),
-            ::capnp::word(110, 103, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 111, 116, 73, 115, 115, 117, 101),
+            ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4728,7 +4527,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(110, 111, 116, 79, 119, 110, 101, 114),
+            ::capnp::word(105, 115, 115, 117, 101, 100, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4736,8 +4535,8 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 110, 105, 101, 100, 77, 115),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(98, 117, 115, 121, 77, 115, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4745,41 +4544,12 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 97, 116, 101, 77, 115, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 117, 109, 109, 97, 114, 121, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 88, 90, 62, 221, 102, 185, 198),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 97, 115, 83, 117, 109, 109, 97),
-            ::capnp::word(114, 121, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::peer_capnp::grant::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <() as ::capnp::introspect::Introspect>::introspect(),
                 1 => <() as ::capnp::introspect::Introspect>::introspect(),
-                2 => <() as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                5 => <crate::peer_capnp::summary::Owned as ::capnp::introspect::Introspect>::introspect(),
-                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4793,25 +4563,21 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[5,6];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,6,4,2,1,5];
-        pub(crate) const TYPE_ID: u64 = 0xc529_6afb_381a_36ca;
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0xb1c2_7295_788a_c833;
     }
-    pub enum Which<A0> {
-        Granted(A0),
-        NotServing(()),
-        NotOwner(()),
-        BusyMs(u64),
-        LateMs(u64),
+    pub enum Which {
+        NotIssuer(()),
+        Issued(()),
+        DeniedMs(u64),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::grant::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::grant::Builder<'a>>>;
+    pub type WhichReader = Which;
+    pub type WhichBuilder = Which;
 }
 
-pub mod release {
-    pub use self::Which::{WholeMs,Unused,Failed};
-
+pub mod ask {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4881,35 +4647,66 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_ticket(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn get_pool(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
-            match self.reader.get_data_field::<u16>(8) {
-                0 => {
-                    ::core::result::Result::Ok(WholeMs(
-                        self.reader.get_data_field::<u64>(1)
-                    ))
-                }
-                1 => {
-                    ::core::result::Result::Ok(Unused(
-                        ()
-                    ))
-                }
-                2 => {
-                    ::core::result::Result::Ok(Failed(
-                        ()
-                    ))
-                }
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
-            }
+        pub fn has_pool(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_team(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_team(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_share(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_interactive(self) -> bool {
+            self.reader.get_bool_field(32)
+        }
+        #[inline]
+        pub fn get_deadline_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_suspect(self) -> bool {
+            self.reader.get_bool_field(33)
+        }
+        #[inline]
+        pub fn get_patient(self) -> bool {
+            self.reader.get_bool_field(34)
+        }
+        #[inline]
+        pub fn get_holder(self) -> ::capnp::Result<crate::peer_capnp::owner::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_holder(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_traceparent(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_traceparent(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_ticket(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4976,46 +4773,116 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_ticket(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_pool(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_ticket(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_pool(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
         }
         #[inline]
-        pub fn set_whole_ms(&mut self, value: u64)  {
-            self.builder.set_data_field::<u16>(8, 0);
+        pub fn init_pool(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_pool(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_team(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_team(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_team(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(2).init_text(size)
+        }
+        #[inline]
+        pub fn has_team(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_share(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_share(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_interactive(self) -> bool {
+            self.builder.get_bool_field(32)
+        }
+        #[inline]
+        pub fn set_interactive(&mut self, value: bool)  {
+            self.builder.set_bool_field(32, value);
+        }
+        #[inline]
+        pub fn get_deadline_ms(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_deadline_ms(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn set_unused(&mut self, _value: ())  {
-            self.builder.set_data_field::<u16>(8, 1);
+        pub fn get_suspect(self) -> bool {
+            self.builder.get_bool_field(33)
         }
         #[inline]
-        pub fn set_failed(&mut self, _value: ())  {
-            self.builder.set_data_field::<u16>(8, 2);
+        pub fn set_suspect(&mut self, value: bool)  {
+            self.builder.set_bool_field(33, value);
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
-            match self.builder.get_data_field::<u16>(8) {
-                0 => {
-                    ::core::result::Result::Ok(WholeMs(
-                        self.builder.get_data_field::<u64>(1)
-                    ))
-                }
-                1 => {
-                    ::core::result::Result::Ok(Unused(
-                        ()
-                    ))
-                }
-                2 => {
-                    ::core::result::Result::Ok(Failed(
-                        ()
-                    ))
-                }
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
-            }
+        pub fn get_patient(self) -> bool {
+            self.builder.get_bool_field(34)
+        }
+        #[inline]
+        pub fn set_patient(&mut self, value: bool)  {
+            self.builder.set_bool_field(34, value);
+        }
+        #[inline]
+        pub fn get_holder(self) -> ::capnp::Result<crate::peer_capnp::owner::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_holder(&mut self, value: crate::peer_capnp::owner::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_holder(self, ) -> crate::peer_capnp::owner::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), 0)
+        }
+        #[inline]
+        pub fn has_holder(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_traceparent(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_traceparent(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_traceparent(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(4).init_text(size)
+        }
+        #[inline]
+        pub fn has_traceparent(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_ticket(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_ticket(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
         }
     }
 
@@ -5026,61 +4893,105 @@
         }
     }
     impl Pipeline  {
+        pub fn get_holder(&self) -> crate::peer_capnp::owner::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(3))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 92] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 184] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(43, 41, 164, 130, 205, 42, 70, 224),
+            ::capnp::word(190, 171, 95, 203, 67, 78, 169, 223),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(97, 83, 224, 217, 164, 242, 199, 177),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 82, 101, 108, 101, 97),
-            ::capnp::word(115, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 65, 115, 107, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 255, 255, 1, 0, 0, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 32, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 33, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(100, 111, 109, 97, 105, 110, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5089,15 +5000,41 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 105, 99, 107, 101, 116, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 111, 111, 108, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 104, 111, 108, 101, 77, 115, 0),
+            ::capnp::word(116, 101, 97, 109, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 104, 97, 114, 101, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 116, 101, 114, 97, 99, 116),
+            ::capnp::word(105, 118, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 97, 100, 108, 105, 110, 101),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5105,30 +5042,61 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 110, 117, 115, 101, 100, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 116, 105, 101, 110, 116, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(102, 97, 105, 108, 101, 100, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 111, 108, 100, 101, 114, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(238, 160, 2, 162, 185, 8, 188, 205),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 114, 97, 99, 101, 112, 97, 114),
+            ::capnp::word(101, 110, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 105, 99, 107, 101, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <() as ::capnp::introspect::Introspect>::introspect(),
-                4 => <() as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                8 => <crate::peer_capnp::owner::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
