feat: ask workers that get nothing whether they still name a limit

A worker whose limit is zero gets no request and so has no response in which to leave the limit out.

--- a/crates/cyclamen-gateway/src/frontend/permit.rs
+++ b/crates/cyclamen-gateway/src/frontend/permit.rs
@@ -63,7 +63,7 @@
 
 /// Returns the decision of the entry that issues the worker's permits.
 async fn decide(call: &Call, target: &Target, rate: Rate, now: Time) -> Decision {
-    let Some(scope) = scope(&call.service, target) else {
+    let Some(scope) = scope(&call.service, target.domain.as_ref()) else {
         return Decision::Denied(UNDECIDED_WAIT);
     };
     let node = &call.node;
--- a/crates/cyclamen-gateway/src/frontend/stream/relay.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay.rs
@@ -217,7 +217,13 @@
     fn end_attempt(&mut self, index: usize, failure: Failure) -> Result<(), Refusal> {
         let attempt = self.attempts.remove(index);
         let call = self.call().clone();
-        log::info!(
+        let level = if failure == Failure::Held {
+            log::Level::Debug
+        } else {
+            log::Level::Info
+        };
+        log::log!(
+            level,
             "event=attempt_failed id={} {} cause={failure} after={:?} silent_ms={}",
             call.id,
             attempt.way,
--- a/crates/cyclamen-gateway/src/node/permits.rs
+++ b/crates/cyclamen-gateway/src/node/permits.rs
@@ -7,8 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cyclamen_directory::Instance;
 use cyclamen_directory::service::Service;
-use cyclamen_dispatch::Target;
 use cyclamen_peer::message::{PermitRequest, PermitResponse};
 use cyclamen_quota::{Ask, Rate};
 use cyclamen_types::{Time, domain, entry, instance};
@@ -53,9 +53,9 @@
     scope.as_str().starts_with(SERVICE_SCOPE_PREFIX)
 }
 
-/// Returns the scope to which a worker belongs.
-pub(crate) fn scope(service: &Service, target: &Target) -> Option<domain::Name> {
-    let domain = target.domain.as_ref().filter(|_| service.engine.is_some());
+/// Returns the scope to which a worker of a fabric domain, or of none, belongs.
+pub(crate) fn scope(service: &Service, domain: Option<&domain::Name>) -> Option<domain::Name> {
+    let domain = domain.filter(|_| service.engine.is_some());
     domain.cloned().or_else(|| service_scope(service))
 }
 
@@ -69,6 +69,13 @@
             .collect()
     }
 
+    /// Returns whether this entry issues the permits of a worker.
+    pub(crate) fn issues_for(&self, now: Time, worker: &Instance) -> bool {
+        let service = self.catalog.service(&worker.service);
+        let scope = service.and_then(|service| scope(service, worker.domain.as_ref()));
+        scope.is_some_and(|scope| self.issues(now, &scope))
+    }
+
     /// Returns whether this entry issues the permits of a scope.
     fn issues(&self, now: Time, scope: &domain::Name) -> bool {
         let taken_over_at = self.ownership.taken_over_at.get(scope);
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -61,6 +61,8 @@
     pub(crate) part_issuer: Issuer,
     /// The entries that last decided on permits of each scope.
     pub(crate) issuers: BTreeMap<domain::Name, entry::Name>,
+    /// When each worker was last probed because it had not named its limit for a while.
+    pub(crate) limit_probed_at: BTreeMap<instance::Id, Time>,
     /// When the store last answered this entry.
     pub(crate) store_answered_at: Time,
     /// The number of entries that divide the retry budgets.
@@ -130,6 +132,7 @@
             issuer: Issuer::default(),
             part_issuer: Issuer::default(),
             issuers: BTreeMap::new(),
+            limit_probed_at: BTreeMap::new(),
             store_answered_at: Time::default(),
             members: Members::new(millis(settings.retries.window_ms)),
             detector: Detector::default(),
--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -5,6 +5,7 @@
 mod follow;
 mod gossip;
 mod lease;
+mod limits;
 mod notices;
 mod ownership;
 mod paths;
@@ -46,6 +47,7 @@
         every!(node, OWNERSHIP_CHECK_INTERVAL, ownership::give_up),
         every!(node, EXPIRY_INTERVAL, expire),
         every!(node, EVIDENCE_INTERVAL, evidence::step),
+        every!(node, EXPIRY_INTERVAL, limits::confirm),
         every!(
             node,
             millis(timing.news_every_ms),
--- a/crates/cyclamen-quota/tests/quota/fleet.rs
+++ b/crates/cyclamen-quota/tests/quota/fleet.rs
@@ -137,7 +137,7 @@
             && is_live(&self.entries[owner])
             && self.now - self.renewed_at < LEASE_MS
         {
-            if self.now % 1_000 == 0 {
+            if self.now.is_multiple_of(1_000) {
                 self.renewed_at = self.now;
             }
             return;
