fix: a refusal that names another request is no promise

An account of other operators: a faulty worker wrote an earlier refusal once more; clients were told 'not run' for requests that had run (REFUSED), or these ran at a second worker (TWICE). It can happen here: classify took X-Not-Executed and 421 as 'not run' before it looked at the echoed id, notices (pause, leaving, limit) were believed from any response, and the own protocol had the same order.

Change: 'not run' counts only in a response that names the request; notices only in one that names it and isn't a misdirection.

--- a/crates/cyclamen-endpoint/src/completion.rs
+++ b/crates/cyclamen-endpoint/src/completion.rs
@@ -105,7 +105,7 @@
             .open_event_stream(request)
             .await
             .map_err(OpenError::Error)?;
-        let events = opened.map_err(OpenError::Response)?;
+        let events = opened.map_err(|response| refusal(response, id))?;
         let echoed = events.conn().response_headers().get_str(REQUEST_ID_HEADER);
         if echoed != Some(id) {
             return Err(OpenError::Error(Error::Malformed));
@@ -118,6 +118,16 @@
     }
 }
 
+/// Returns the error for a response that is not an event stream; one to another request says nothing
+/// of this one.
+fn refusal(response: Response, id: &Arc<str>) -> OpenError {
+    let echoed = response.headers.get_str(REQUEST_ID_HEADER);
+    if echoed.is_some_and(|echoed| *echoed != **id) {
+        return OpenError::Error(Error::Malformed);
+    }
+    OpenError::Response(response)
+}
+
 impl Stream {
     /// Returns the index of the next token.
     pub fn position(&self) -> u64 {
--- a/crates/cyclamen-endpoint/tests/stream.rs
+++ b/crates/cyclamen-endpoint/tests/stream.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use cyclamen_endpoint::{Chunk, Client, Options, StreamError, Target};
+use cyclamen_endpoint::{Chunk, Client, OpenError, Options, StreamError, Target};
 use serde_json::json;
 
 const CHUNK_TIMEOUT: Duration = Duration::from_millis(500);
@@ -96,3 +96,37 @@
     a_stream_that_only_sends_comments_ends: ": still here\n\n";
     a_stream_that_repeats_a_token_ends: token(0);
 }
+
+/// Opens a stream at an engine that answers with a refusal that names this request.
+fn open_refused(id: &'static str) -> OpenError {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4_096]).unwrap();
+        let refusal = format!(
+            "HTTP/1.1 503 Busy\r\n{}: {id}\r\n{}: {}\r\nContent-Length: 0\r\n\r\n",
+            cyclamen_endpoint::REQUEST_ID_HEADER,
+            cyclamen_endpoint::OUTCOME_HEADER,
+            cyclamen_endpoint::NOT_RUN
+        );
+        stream.write_all(refusal.as_bytes()).unwrap();
+    });
+    let http = cyclamen_http::Client::new(cyclamen_http::Options::default());
+    let client = Client::new(http, Options::default());
+    let target = Target {
+        address,
+        group: "g".parse().unwrap(),
+        fence: Default::default(),
+    };
+    let (id, body) = (REQUEST_ID.into(), json!({}));
+    let opening = client.open_stream(&target, &id, "", &body, 0, Duration::from_secs(5));
+    smol::block_on(opening).unwrap_err()
+}
+
+// A faulty worker wrote an earlier refusal once more: clients were told 'not run' (REFUSED).
+#[test]
+fn a_refusal_of_another_request_is_none_of_this_one() {
+    assert!(matches!(open_refused(REQUEST_ID), OpenError::Response(_)));
+    assert!(matches!(open_refused("r0"), OpenError::Error(_)));
+}
--- a/crates/cyclamen-entry/src/caller/plain.rs
+++ b/crates/cyclamen-entry/src/caller/plain.rs
@@ -197,10 +197,15 @@
     ///
     /// It is unknown if the response belongs to another request or its body is not UTF-8.
     fn classify(&self, response: &Response) -> SendOutcome {
+        let echoed = response.headers.get_str(REQUEST_ID_HEADER);
         if response.headers.get_str(OUTCOME_HEADER) == Some(NOT_RUN) {
-            return SendOutcome::NotRun;
+            // One that does not name the call may be an earlier refusal, sent once more.
+            return if echoed == Some(&self.id) {
+                SendOutcome::NotRun
+            } else {
+                SendOutcome::Unknown
+            };
         }
-        let echoed = response.headers.get_str(REQUEST_ID_HEADER);
         let Ok(body) = std::str::from_utf8(&response.body) else {
             return SendOutcome::Unknown;
         };
--- a/crates/cyclamen-gateway/src/frontend/response.rs
+++ b/crates/cyclamen-gateway/src/frontend/response.rs
@@ -33,9 +33,14 @@
     (200..300).contains(&status)
 }
 
-/// Records what the head of a response says of the worker, whatever the response is: that it is
-/// leaving or in need, or that it wants no requests from this entry for a while.
+/// Records what the head of a response to this request says of the worker, whatever the response is:
+/// that it is leaving or in need, or that it wants no requests from this entry for a while.
+///
+/// A misdirected request got to another worker.
 pub(crate) fn record_notices(call: &Call, dispatch: &Dispatch, response: &StreamingResponse) {
+    if belonging(call, response) != Belonging::Own || response.status == 421 {
+        return;
+    }
     let node = &call.node;
     let now = node.now();
     let worker = Start {
@@ -67,16 +72,49 @@
     is_pause.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
 }
 
+/// What the id that a response echoes says of the request that it belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Belonging {
+    /// It belongs to this request.
+    Own,
+    /// It names no request.
+    Unnamed,
+    /// It belongs to another request.
+    Foreign,
+}
+
+fn belonging(call: &Call, response: &StreamingResponse) -> Belonging {
+    let dialect = call.node.platform.dialect();
+    match response.headers.get_str(dialect.request_id) {
+        Some(echoed) if *echoed == *call.id => Belonging::Own,
+        Some(_) => Belonging::Foreign,
+        None => Belonging::Unnamed,
+    }
+}
+
 /// Classifies a worker's response by its head.
+///
+/// A statement that the request did not run counts only in a response that names the request: an
+/// earlier one that a worker sends once more is no promise.
 pub(crate) fn classify(call: &Call, response: &StreamingResponse) -> Class {
     let dialect = call.node.platform.dialect();
-    if response.headers.has_header(dialect.not_run) || response.status == 421 {
-        return Class::NotRun;
-    }
-    let echoed = response.headers.get_str(dialect.request_id);
-    if echoed.is_some_and(|echoed| *echoed != *call.id) {
+    let belonging = belonging(call, response);
+    if belonging == Belonging::Foreign {
         return Class::Invalid;
     }
+    if response.headers.has_header(dialect.not_run) || response.status == 421 {
+        return match belonging {
+            Belonging::Own => Class::NotRun,
+            Belonging::Unnamed | Belonging::Foreign => {
+                log::warn!(
+                    "event=refusal_without_id id={} status={}",
+                    call.id,
+                    response.status
+                );
+                Class::Invalid
+            }
+        };
+    }
     if NOT_RUN_STATUSES.contains(&response.status) {
         return Class::Invalid;
     }
