fix: only the next events of a stream go on with it

Errors were refused here already; a success that was no event stream, had no content, went on at a later event or without ids was joined.

Change: the response that goes on must be an event stream with status 200; its first new event needs an id, and the next one as far as the ids so far were regular (stream/sequence.rs).

--- a/crates/cyclamen-gateway/src/frontend/stream.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod failure;
 mod relay;
+mod sequence;
 
 use std::io;
 
--- a/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
@@ -10,15 +10,18 @@
 use cyclamen_types::Time;
 use futures::AsyncReadExt;
 use smol::future::yield_now;
-use trillium::Headers;
+use trillium::{Headers, KnownHeaderName};
 
 use crate::frontend::call::Call;
 use crate::frontend::response::{Class, classify, is_success, record_notices};
 use crate::frontend::stream::failure::{Break, Failure};
+use crate::frontend::stream::sequence::Sequence;
 use crate::frontend::way::{SendError, Way};
 use crate::node::Loss;
 use crate::tasks;
 
+/// The media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Size of the buffer for reads from a worker, in bytes.
 const READ_BUFFER_BYTES: usize = 8 << 10;
 /// The delay of a first event beyond its forecast that is tolerated before the group is
@@ -33,8 +36,8 @@
 /// A part of a response body.
 #[derive(Debug)]
 pub(super) enum Part {
-    /// Complete events, with the id of the last one that has an id.
-    Events { bytes: Vec<u8>, last: Option<u64> },
+    /// Complete events, with the ids that the caller has received after them.
+    Events { bytes: Vec<u8>, ids: Sequence },
     /// The end of a complete response.
     End,
 }
@@ -92,10 +95,10 @@
         }
     }
 
-    /// Returns the next complete events after the one with the id `after`.
+    /// Returns the next complete events after those that the caller has received.
     ///
     /// Dropping the future loses nothing.
-    pub(super) async fn next(&mut self, after: Option<u64>) -> Result<Part, Failure> {
+    pub(super) async fn next(&mut self, after: Sequence) -> Result<Part, Failure> {
         loop {
             match &mut self.state {
                 State::Opening(opening) => {
@@ -103,7 +106,7 @@
                     self.accept(response)?;
                 }
                 State::Open(response) => {
-                    if let Some(part) = response.take_events(after) {
+                    if let Some(part) = response.take_events(after, self.continues)? {
                         self.record_progress();
                         return Ok(part);
                     }
@@ -132,7 +135,7 @@
             Class::NotRun => return Err(Failure::NotRun),
             Class::Invalid => return Err(Failure::Unknown),
             Class::Failed if self.call.is_resumable() => return Err(Failure::Failed),
-            Class::Answered if self.continues && !is_success(response.status) => {
+            Class::Answered if self.continues && !is_event_stream(&response) => {
                 return Err(Failure::Failed);
             }
             Class::Answered | Class::Failed => {}
@@ -147,8 +150,9 @@
 
     /// Returns the end of the response, unless it has ended within an event, or a successful one
     /// before the first event of the stream.
-    fn end(&self, after: Option<u64>) -> Result<Part, Failure> {
-        let lacks_events = !self.has_started() && after.is_none() && self.is_success();
+    fn end(&self, after: Sequence) -> Result<Part, Failure> {
+        let is_first = after.last().is_none();
+        let lacks_events = !self.has_started() && is_first && self.is_success();
         let State::Open(response) = &self.state else {
             return Err(Failure::Unknown);
         };
@@ -271,19 +275,39 @@
     }
 }
 
+impl Part {
+    fn is_empty(&self) -> bool {
+        matches!(self, Self::Events { bytes, .. } if bytes.is_empty())
+    }
+}
+
+/// Returns whether a response may go on with the stream that another worker began.
+fn is_event_stream(response: &StreamingResponse) -> bool {
+    let content_type = response.headers.get_str(KnownHeaderName::ContentType);
+    let media_type = content_type.and_then(|text| text.split(';').next());
+    let is_stream = media_type.is_some_and(|t| t.trim().eq_ignore_ascii_case(EVENT_STREAM));
+    response.status == 200 && is_stream
+}
+
 impl Response {
-    /// Removes the complete events after the one with the id `after` from the buffer.
-    fn take_events(&mut self, after: Option<u64>) -> Option<Part> {
+    /// Removes the complete events after those that the caller has received from the buffer.
+    ///
+    /// The first of them in a response that `continues` that of another worker must be the next one.
+    fn take_events(&mut self, after: Sequence, continues: bool) -> Result<Option<Part>, Failure> {
         let mut bytes = Vec::new();
-        let mut last = after;
+        let mut ids = after;
         while let Some(event) = self.events.next_event() {
-            let is_known = event.id.zip(last).is_some_and(|(id, last)| id <= last);
-            if !is_known {
-                last = event.id.or(last);
-                bytes.extend_from_slice(&event.bytes);
+            if ids.contains(event.id) {
+                continue;
+            }
+            if continues && bytes.is_empty() && !ids.is_next(event.id) {
+                return Err(Failure::Broken(Break::Gap));
             }
+            ids.record(event.id);
+            bytes.extend_from_slice(&event.bytes);
         }
-        (!bytes.is_empty()).then_some(Part::Events { bytes, last })
+        let part = Part::Events { bytes, ids };
+        Ok(Some(part).filter(|part| !part.is_empty()))
     }
 }
 
--- a/crates/cyclamen-gateway/src/frontend/stream/failure.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/failure.rs
@@ -15,6 +15,8 @@
     EndedEarly,
     /// An event is too large.
     TooLarge,
+    /// The response does not go on at the next event of the stream that another worker began.
+    Gap,
 }
 
 /// Why an attempt ended without a complete response.
--- a/crates/cyclamen-gateway/src/frontend/stream/relay.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay.rs
@@ -17,6 +17,7 @@
 use crate::frontend::request::Request;
 use crate::frontend::stream::attempt::{Attempt, Part};
 use crate::frontend::stream::failure::Failure;
+use crate::frontend::stream::sequence::Sequence;
 use crate::frontend::way::Way;
 use crate::tasks;
 
@@ -44,8 +45,8 @@
     pub(super) request: Request,
     /// The workers that run the request, the first one first.
     attempts: Vec<Attempt>,
-    /// The id of the last event that the caller received.
-    last_event_id: Option<u64>,
+    /// The ids of the events that the caller received.
+    ids: Sequence,
     /// Whether the caller has received the head of a response.
     has_head: bool,
     /// Whether the request may be sent to a worker without spending a retry.
@@ -67,7 +68,7 @@
         Self {
             request,
             attempts: Vec::new(),
-            last_event_id,
+            ids: Sequence::after(last_event_id),
             has_head: false,
             may_send: true,
             replacement_sought_at: None,
@@ -121,7 +122,7 @@
     /// Waits for the next part of any attempt, or until workers are to be checked for silence.
     async fn wait(&mut self) -> Event {
         let interval = SILENCE_CHECK_INTERVAL.min(self.call().remaining());
-        let after = self.last_event_id;
+        let after = self.ids;
         let parts = self.attempts.iter_mut().map(|a| Box::pin(a.next(after)));
         let first = async {
             let (result, index, _) = select_all(parts).await;
@@ -143,7 +144,7 @@
             self.choose_for_retry()?
         };
         self.may_send = false;
-        let attempt = Attempt::start(self.call(), way, self.last_event_id, self.has_head);
+        let attempt = Attempt::start(self.call(), way, self.ids.last(), self.has_head);
         self.attempts.push(attempt);
         Ok(())
     }
@@ -174,7 +175,7 @@
                  silent_ms={}",
                 call.id,
                 other.way,
-                self.last_event_id,
+                self.ids.last(),
                 call.node.now().since(other.last_event_at).as_millis()
             );
             if is_replaced {
@@ -194,7 +195,7 @@
     /// Records the part that the caller gets next.
     fn deliver(&mut self, part: Part) -> Part {
         match &part {
-            Part::Events { last, .. } => self.last_event_id = *last,
+            Part::Events { ids, .. } => self.ids = *ids,
             Part::End => self.finish(),
         }
         part
@@ -227,7 +228,7 @@
             "event=attempt_failed id={} {} cause={failure} after={:?} silent_ms={}",
             call.id,
             attempt.way,
-            self.last_event_id,
+            self.ids.last(),
             call.node.now().since(attempt.last_event_at).as_millis()
         );
         if call.remaining().is_zero() {
--- a/crates/cyclamen-gateway/src/frontend/stream/relay/silence.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay/silence.rs
@@ -56,7 +56,7 @@
             self.call().id,
             silent.way,
             loss.as_str(),
-            self.last_event_id,
+            self.ids.last(),
             now.since(silent.last_event_at).as_millis()
         );
     }
@@ -70,7 +70,7 @@
                 "event=attempt_failed id={} {} cause=Deadline after={:?} silent_ms={}",
                 call.id,
                 attempt.way,
-                self.last_event_id,
+                self.ids.last(),
                 now.since(attempt.last_event_at).as_millis()
             );
         }
