fix: a stream that goes on may leave its media type out

Only another media type than that of event streams keeps a response from going on with a stream; one without any is judged by its events, which need ids.

--- a/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
@@ -281,11 +281,12 @@
     }
 }
 
-/// Returns whether a response may go on with the stream that another worker began.
+/// Returns whether a response may go on with the stream that another worker began: it is successful and
+/// says nothing else of its media type.
 fn is_event_stream(response: &StreamingResponse) -> bool {
     let content_type = response.headers.get_str(KnownHeaderName::ContentType);
     let media_type = content_type.and_then(|text| text.split(';').next());
-    let is_stream = media_type.is_some_and(|t| t.trim().eq_ignore_ascii_case(EVENT_STREAM));
+    let is_stream = media_type.is_none_or(|t| t.trim().eq_ignore_ascii_case(EVENT_STREAM));
     response.status == 200 && is_stream
 }
 
