fix: a worker that did not run a request does not get it again by another entry

The receiver avoids these, but if it knows no other it uses any of them, as the sender may only have lost its path; so the shedding worker got the request again.

Change: the envelope names the workers that shed the request; the receiver never uses these.

--- a/crates/cyclamen-gateway/src/frontend/buffered.rs
+++ b/crates/cyclamen-gateway/src/frontend/buffered.rs
@@ -100,6 +100,7 @@
                 }
             }
             Err(Failure::NotRun) => {
+                request.record_shed(&way);
                 if !request.try_spend_retry() {
                     return Err(Refusal::retries_spent());
                 }
--- a/crates/cyclamen-gateway/src/frontend/handover.rs
+++ b/crates/cyclamen-gateway/src/frontend/handover.rs
@@ -51,9 +51,10 @@
         return Err(Refusal::retry_later("busy", BUSY_RETRY_DELAY));
     }
     let limit = node.state().catalog.limits().body_bytes;
-    let avoided = envelope.tried.clone();
+    let (avoided, shed) = (envelope.tried.clone(), envelope.shed.clone());
     let mut request = Request::new(call(node, conn, envelope, headers)?);
     request.avoided = avoided;
+    request.tried = shed;
     request.read_body(conn, limit).await?;
     Ok(request)
 }
--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -33,6 +33,8 @@
     pub(crate) call: Arc<Call>,
     /// Workers that were chosen for the request by this entry.
     pub(crate) tried: Vec<instance::Id>,
+    /// Workers that received the request from this entry and did not run it.
+    shed: Vec<instance::Id>,
     /// Workers that the entry that handed the request over chose, which get it only if there is no
     /// other: that entry may have lost its path to them.
     pub(super) avoided: Vec<instance::Id>,
@@ -114,6 +116,7 @@
         Self {
             call: Arc::new(call),
             tried: Vec::new(),
+            shed: Vec::new(),
             avoided: Vec::new(),
             tried_entries: Vec::new(),
             may_have_run: false,
@@ -197,6 +200,7 @@
             receiver,
             chosen_at: now,
             tried: self.tried.as_slice().into(),
+            shed: self.shed.as_slice().into(),
         })
     }
 
@@ -209,6 +213,13 @@
         }
     }
 
+    /// Records that the worker that was chosen did not run the request.
+    pub(crate) fn record_shed(&mut self, way: &Way) {
+        if let Way::Worker(dispatch) = way {
+            self.shed.push(dispatch.target.instance.clone());
+        }
+    }
+
     /// Records that no permit for the chosen worker was to be had; it may be chosen again later.
     pub(crate) fn record_held(&mut self, way: &Way) {
         self.sent = self.sent.saturating_sub(1);
--- a/crates/cyclamen-gateway/src/frontend/send.rs
+++ b/crates/cyclamen-gateway/src/frontend/send.rs
@@ -65,6 +65,7 @@
         waited_ms: as_millis(call.waited(now)),
         remaining_ms: as_millis(call.remaining()),
         tried: handover.tried.to_vec(),
+        shed: handover.shed.to_vec(),
     }
 }
 
--- a/crates/cyclamen-gateway/src/frontend/stream/relay.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay.rs
@@ -278,7 +278,7 @@
                 self.request.record_held(&attempt.way);
                 self.may_send = true;
             }
-            Failure::NotRun => {}
+            Failure::NotRun => self.request.record_shed(&attempt.way),
             Failure::Closed | Failure::Unknown | Failure::Failed | Failure::Broken(_) => {
                 self.request.may_have_run = true;
             }
--- a/crates/cyclamen-gateway/src/frontend/way.rs
+++ b/crates/cyclamen-gateway/src/frontend/way.rs
@@ -31,6 +31,8 @@
     pub(crate) chosen_at: Time,
     /// Workers that this entry chose for the request before.
     pub(crate) tried: Arc<[instance::Id]>,
+    /// Those of them that received the request and did not run it.
+    pub(crate) shed: Arc<[instance::Id]>,
 }
 
 /// Why a request got no response head.
--- a/crates/cyclamen-gateway/src/handover.rs
+++ b/crates/cyclamen-gateway/src/handover.rs
@@ -43,6 +43,9 @@
     pub(crate) remaining_ms: u64,
     /// Workers that the sender chose before; it may only have lost its path to them.
     pub(crate) tried: Vec<instance::Id>,
+    /// Those of them that received the request and did not run it; earlier builds do not name them.
+    #[serde(default)]
+    pub(crate) shed: Vec<instance::Id>,
 }
 
 /// Whether and how a request may be retried, see [`Repeat`].
