--- a/crates/cyclamen-gateway/src/frontend/permit.rs
+++ b/crates/cyclamen-gateway/src/frontend/permit.rs
@@ -1,5 +1,6 @@
 //! Asks for permits to send requests to limited workers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cyclamen_dispatch::{Dispatch, Target};
@@ -114,7 +115,7 @@
 
 async fn ask_peer(
     node: &Node,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     request: PermitRequest,
 ) -> Result<Decision, &'static str> {
     let peers = node.peers().ok_or("not_started")?;
--- a/crates/cyclamen-gateway/src/node/permits.rs
+++ b/crates/cyclamen-gateway/src/node/permits.rs
@@ -14,7 +14,7 @@
 use cyclamen_types::{Time, domain, entry, instance};
 use rand::seq::IndexedRandom;
 
-use crate::node::State;
+use crate::node::{Peer, State};
 use crate::tasks::SMALL_FLEET_PEERS;
 
 /// The prefix of the names under which services without domains are owned.
@@ -206,7 +206,7 @@
     }
 }
 
-impl crate::node::Peer {
+impl Peer {
     /// Returns whether the entry issues the permits of a scope, by its last gossip.
     fn issues(&self, scope: &domain::Name) -> bool {
         self.knowledge.issues.contains(scope)
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -291,8 +291,9 @@
         );
     }
 
-    /// Ends a recovery whose time is over. Removes suspicions that were not confirmed in time, instances that were not listed again in
-    /// time, and containments that have expired.
+    /// Ends a recovery whose time is over. Removes suspicions that were not confirmed in time,
+    /// instances that were not listed again in time, limits of workers that are gone, and
+    /// containments that have expired.
     pub(crate) fn remove_expired(&mut self, now: Time, platform: &dyn Platform) {
         self.end_recovery(now, platform);
         self.expire_limits();
--- a/crates/cyclamen-quota/src/issuer.rs
+++ b/crates/cyclamen-quota/src/issuer.rs
@@ -17,7 +17,7 @@
 const RESERVE_DURATION: Duration = Duration::from_secs(1);
 /// The number of permits in a row that may pass to more urgent requests.
 const MAX_URGENT_IN_A_ROW: u32 = 3;
-/// The longest time for which a denied entry is told to wait before it asks again.
+/// The longest wait between a denial and the next request for a permit.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
 /// A request for a permit.
@@ -58,7 +58,7 @@
     /// The permits that can be issued now.
     level: f64,
     refilled_at: Time,
-    /// When the last entry that was denied a permit is to ask again.
+    /// When the entry that was denied a permit last asks again.
     promised_until: Time,
     /// The priority of the most urgent request that was denied lately, and when.
     denied: Option<(u8, Time)>,
--- a/crates/cyclamen-quota/src/permits.rs
+++ b/crates/cyclamen-quota/src/permits.rs
@@ -79,9 +79,4 @@
         let applies = hold.priority <= priority && now < hold.until;
         applies.then(|| hold.until.since(now))
     }
-
-    /// Returns whether any worker is held at all.
-    pub fn has_holds(&self) -> bool {
-        !self.holds.is_empty()
-    }
 }
