perf: prefer workers without limit by less

A worker in need cost half of the latency goal more than others, so that its permits went unused (0.76 to 0.84 of the limit) while others refused as overloaded.

The dispatch test of the preference sent four requests at once; it now ends each before the next, as the preference is one between workers with equal load.

--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -20,7 +20,7 @@
 /// multiples of the latency goal.
 const FAILURE_COST: f64 = 2.0;
 /// Additional cost of a worker in need, in multiples of the latency goal.
-const LIMITED_COST: f64 = 0.5;
+const LIMITED_COST: f64 = 0.2;
 /// Upper bound of the random cost that breaks ties, in multiples of the latency goal.
 const TIE_BREAK_COST: f64 = 0.02;
 /// A worker may queue up to its number of slots divided by this.
--- a/crates/cyclamen-dispatch/tests/dispatch.rs
+++ b/crates/cyclamen-dispatch/tests/dispatch.rs
@@ -360,6 +360,7 @@
     for _ in 0..4 {
         let chosen = choose(&mut dispatcher, &Request::new()).unwrap();
         assert_eq!(chosen.target.instance.as_str(), "h2");
+        dispatcher.record_outcome(at(0), &chosen, Outcome::Complete, false);
     }
 }
 
