--- a/review/bed/gateway.rs
+++ b/review/bed/gateway.rs
@@ -84,6 +84,11 @@
         Ok(())
     }
 
+    /// Returns the id of the process, if one runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Kills the process with SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/bed/main.rs
+++ b/review/bed/main.rs
@@ -3,6 +3,7 @@
 //! Standard library only. Every address is on loopback; every process that is started is ended.
 
 mod case_crash;
+mod case_memory;
 mod case_target;
 mod gateway;
 mod http;
@@ -63,6 +64,7 @@
     let result = match case.as_str() {
         "crash" => case_crash::run(&record, trouble),
         "crash-cut" => case_crash::run_cut(&record, trouble),
+        "memory" => case_memory::run(&record, trouble),
         "target" => case_target::run(&record, trouble),
         other => Err(format!("unknown case {other:?}")),
     };
