--- a/review/bed/worker.rs
+++ b/review/bed/worker.rs
@@ -116,17 +116,25 @@
                 return;
             }
             let (method, target) = request.target();
-            if method == "GET" && (target == "/v1/report" || target == "/healthz") {
-                let body = format!(
-                    "{{\"stage\":\"both\",\"models\":[],\"busy\":false,\"sequence\":0,\
-                     \"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":0,\"handles\":0,\
-                     \"born\":{born}}}"
-                );
+            let attempt = request.header("x-attempt-id").unwrap_or("").to_string();
+            let seen = Seen {
+                method: method.to_string(),
+                target: target.to_string(),
+                id: attempt.clone(),
+                body: request.body.clone(),
+            };
+            if let Some((status, body)) = own_answer(method, target, born) {
+                if !attempt.is_empty() {
+                    self.record.line(format!(
+                        "worker {id} takes {attempt} for a call to itself: {method} {target}, {}",
+                        String::from_utf8_lossy(&request.body)
+                    ));
+                    self.seen.lock().unwrap().push(seen);
+                }
                 let headers = [("X-Instance-Id", id)];
-                let _ = http::respond(&mut stream, 200, &headers, body.as_bytes());
+                let _ = http::respond(&mut stream, status, &headers, body.as_bytes());
                 continue;
             }
-            let attempt = request.header("x-attempt-id").unwrap_or("").to_string();
             if request
                 .header("x-expect-instance")
                 .is_some_and(|expected| expected != id)
@@ -135,12 +143,6 @@
                 let _ = http::respond(&mut stream, 421, &headers, b"");
                 continue;
             }
-            let seen = Seen {
-                method: method.to_string(),
-                target: target.to_string(),
-                id: attempt.clone(),
-                body: request.body.clone(),
-            };
             self.record.line(format!(
                 "worker {id} runs {attempt}: {method} {target}, {} bytes",
                 seen.body.len()
@@ -164,3 +166,20 @@
         }
     }
 }
+
+/// Returns a worker's answer to a call that concerns the worker itself: a report, a health check or
+/// an order.
+fn own_answer(method: &str, target: &str, born: u128) -> Option<(u16, String)> {
+    match (method, target) {
+        ("GET", "/v1/report") => Some((
+            200,
+            format!(
+                "{{\"stage\":\"both\",\"models\":[],\"busy\":false,\"sequence\":0,\"queued\":0,\
+                 \"running\":0,\"kv_used\":0,\"kv_total\":0,\"handles\":0,\"born\":{born}}}"
+            ),
+        )),
+        ("GET", "/healthz") => Some((200, format!("{{\"born\":{born}}}"))),
+        ("POST", "/v1/order") => Some((202, String::new())),
+        _ => None,
+    }
+}
