--- a/review/bed/main.rs
+++ b/review/bed/main.rs
@@ -3,6 +3,7 @@
 //! Standard library only. Every address is on loopback; every process that is started is ended.
 
 mod case_crash;
+mod case_expect;
 mod case_memory;
 mod case_target;
 mod gateway;
@@ -64,6 +65,7 @@
     let result = match case.as_str() {
         "crash" => case_crash::run(&record, trouble),
         "crash-cut" => case_crash::run_cut(&record, trouble),
+        "expect" => case_expect::run(&record, trouble),
         "memory" => case_memory::run(&record, trouble),
         "target" => case_target::run(&record, trouble),
         other => Err(format!("unknown case {other:?}")),
