--- a/review/bed/case_crash.rs
+++ b/review/bed/case_crash.rs
@@ -69,6 +69,8 @@
                 record: record.clone(),
                 back_after: Duration::from_secs(3),
                 deed,
+                fate: Arc::default(),
+                records_runs: true,
             }
             .run()?;
         }
--- a/review/bed/case_target.rs
+++ b/review/bed/case_target.rs
@@ -44,6 +44,8 @@
             record: record.clone(),
             back_after: Duration::from_secs(2),
             deed: |_| Deed::Answer,
+            fate: Arc::default(),
+            records_runs: true,
         }
         .run()?;
     }
--- a/review/bed/gateway.rs
+++ b/review/bed/gateway.rs
@@ -124,10 +124,11 @@
     const FIRST: u16 = 20_000;
     const SPAN: u16 = 10_000;
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let offset = (std::process::id() % u32::from(SPAN)) as u16;
+    // Scripts that run at the same time begin far from each other.
+    let offset = (std::process::id().wrapping_mul(173) % u32::from(SPAN)) as u16;
     let mut free = Vec::new();
     for _ in 0..SPAN {
-        let port = FIRST + (offset + NEXT.fetch_add(1, Ordering::Relaxed)) % SPAN;
+        let port = FIRST + (offset + NEXT.fetch_add(1, Ordering::Relaxed) % SPAN) % SPAN;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         if TcpListener::bind(address).is_ok() {
             free.push(address);
--- a/review/bed/main.rs
+++ b/review/bed/main.rs
@@ -4,6 +4,7 @@
 
 mod case_crash;
 mod case_expect;
+mod case_gone;
 mod case_memory;
 mod case_target;
 mod gateway;
@@ -66,6 +67,7 @@
         "crash" => case_crash::run(&record, trouble),
         "crash-cut" => case_crash::run_cut(&record, trouble),
         "expect" => case_expect::run(&record, trouble),
+        "gone" => case_gone::run(&record, trouble),
         "memory" => case_memory::run(&record, trouble),
         "target" => case_target::run(&record, trouble),
         other => Err(format!("unknown case {other:?}")),
--- a/review/bed/worker.rs
+++ b/review/bed/worker.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Message};
 use crate::store::Store;
@@ -16,6 +16,7 @@
 /// A request as a worker got it.
 #[derive(Debug, Clone)]
 pub struct Seen {
+    pub at: Instant,
     pub method: String,
     pub target: String,
     pub id: String,
@@ -30,6 +31,22 @@
 pub enum Deed {
     Answer,
     Crash,
+    /// Streams events for some seconds.
+    Stream,
+}
+
+/// The number of events of a stream.
+const EVENTS: u64 = 60;
+/// The time between two events.
+const EVENT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What a script makes a worker suffer.
+#[derive(Default)]
+pub struct Fate {
+    /// Whether its streams stand still.
+    pub stalled: AtomicBool,
+    /// Whether it is to crash, once.
+    pub crashes: AtomicBool,
 }
 
 /// A place at which a worker runs; one that crashes comes back some seconds later, under a new id.
@@ -41,6 +58,9 @@
     pub record: Record,
     pub back_after: Duration,
     pub deed: fn(&Message) -> Deed,
+    pub fate: Arc<Fate>,
+    /// Whether the record names each request that is run.
+    pub records_runs: bool,
 }
 
 impl Place {
@@ -77,7 +97,7 @@
         let row = |sequence: u64| {
             format!(
                 "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"{}\",\"version\":1,\
-                 \"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":{sequence},\
+                 \"slots\":26,\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":{sequence},\
                  \"born\":{born}}}",
                 self.service, self.zone
             )
@@ -85,7 +105,7 @@
         self.store.write("servers", &id, Some(&row(1)));
         self.record.line(format!("worker {id} starts at {address}"));
         let _ = listener.set_nonblocking(true);
-        while !crashed.load(Ordering::SeqCst) {
+        while !crashed.load(Ordering::SeqCst) && !self.fate.crashes.swap(false, Ordering::SeqCst) {
             let Ok((stream, _)) = listener.accept() else {
                 thread::sleep(Duration::from_millis(1));
                 continue;
@@ -96,6 +116,7 @@
             let (place, id, crashed) = (self.clone(), id.clone(), crashed.clone());
             thread::spawn(move || place.serve(stream, &id, born, &crashed));
         }
+        crashed.store(true, Ordering::SeqCst);
         drop(listener);
         for stream in connections.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
@@ -118,6 +139,7 @@
             let (method, target) = request.target();
             let attempt = request.header("x-attempt-id").unwrap_or("").to_string();
             let seen = Seen {
+                at: Instant::now(),
                 method: method.to_string(),
                 target: target.to_string(),
                 id: attempt.clone(),
@@ -143,10 +165,15 @@
                 let _ = http::respond(&mut stream, 421, &headers, b"");
                 continue;
             }
-            self.record.line(format!(
-                "worker {id} runs {attempt}: {method} {target}, {} bytes",
-                seen.body.len()
-            ));
+            let line = || {
+                format!(
+                    "worker {id} runs {attempt}: {method} {target}, {} bytes",
+                    seen.body.len()
+                )
+            };
+            if self.records_runs {
+                self.record.line(line());
+            }
             self.seen.lock().unwrap().push(seen);
             thread::sleep(Duration::from_millis(15));
             if (self.deed)(&request) == Deed::Crash {
@@ -155,6 +182,12 @@
                 return;
             }
             let stamp = format!("{attempt}.{id}");
+            if (self.deed)(&request) == Deed::Stream {
+                let after = request.header("last-event-id");
+                let after = after.and_then(|text| text.parse().ok()).unwrap_or(0);
+                let _ = self.stream(&mut stream, &attempt, &stamp, after);
+                return;
+            }
             let headers = [
                 ("X-Attempt-Id", attempt.as_str()),
                 ("X-Server-Stamp", &stamp),
@@ -167,6 +200,32 @@
     }
 }
 
+impl Place {
+    /// Streams the events after the one with this id.
+    fn stream(
+        &self,
+        to: &mut TcpStream,
+        attempt: &str,
+        stamp: &str,
+        after: u64,
+    ) -> std::io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Stamp: {stamp}\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        to.write_all(head.as_bytes())?;
+        for event in after + 1..=EVENTS {
+            while self.fate.stalled.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(5));
+            }
+            let text = format!("id: {event}\ndata: {stamp}\n\n");
+            to.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+            thread::sleep(EVENT_INTERVAL);
+        }
+        to.write_all(b"0\r\n\r\n")
+    }
+}
+
 /// Returns a worker's answer to a call that concerns the worker itself: a report, a health check or
 /// an order.
 fn own_answer(method: &str, target: &str, born: u128) -> Option<(u16, String)> {
