gateway: settings name the parts that are off unless asked for

Cause: what is new for hard load takes effect only where a deployment's settings ask for it. Nothing reads them yet.

--- a/crates/cyclamen-gateway/src/settings.rs
+++ b/crates/cyclamen-gateway/src/settings.rs
@@ -40,6 +40,9 @@
     /// The retry budget of each service.
     #[serde(default)]
     pub retries: Retries,
+    /// The parts of the gateway that are off unless they are asked for.
+    #[serde(default)]
+    pub features: Features,
     /// The memory that the bodies of responses and incomplete events of streams share, in MiB.
     ///
     /// A body that finds no room fails its request, and an event its stream; a body of more than
@@ -159,6 +162,24 @@
     }
 }
 
+/// The parts of a gateway that are off unless they are asked for.
+///
+/// Entries with and without each of them can run side by side.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Features {
+    /// The number of groups of each model follows the demand for it; otherwise the shares of the
+    /// configuration.
+    pub follow_demand: bool,
+    /// Requests that cannot be served in time make room for those that can, and teams that ask for
+    /// more than their fair share of scarce room make room for the others.
+    pub overload_control: bool,
+    /// Workers are chosen by the loads and speeds that entries observe and tell each other.
+    pub observed_loads: bool,
+    /// An entry asks the store for changes only if no other entry has told it lately what has changed.
+    pub shared_following: bool,
+}
+
 /// The retry budget of a service, shared by all entries.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
