cyclamenpath: a check of a configuration before it is sent

Cause: operators learnt only from entries' logs that a part of a configuration was skipped, never that a route cannot match or that a change takes callers' service away. Change: `check-configuration` and `check-tables`; the decoder of the entries returns a draft with the place of each part, which entries turn into their catalog and the check examines and compares. docs/design/configuration-check.md. Tests: 34 cases of reports and exit codes (crates/cyclamenpath/tests/configuration.rs), and a property: entries adopt just the routes without errors (platform/tests/configuration.rs, 256 cases).

--- a/crates/cyclamen-directory/src/lib.rs
+++ b/crates/cyclamen-directory/src/lib.rs
@@ -7,12 +7,14 @@
 mod registry;
 
 pub mod catalog;
+pub mod draft;
 pub mod instance;
 pub mod route;
 pub mod service;
 pub mod team;
 
 pub use catalog::Catalog;
+pub use draft::Draft;
 pub use instance::Instance;
 pub use registry::{Record, Registry};
 pub use route::Route;
--- a/crates/cyclamenpath/src/command/mod.rs
+++ b/crates/cyclamenpath/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! Implementations of the commands.
 
 pub(crate) mod check;
+pub(crate) mod configuration;
 pub(crate) mod entry;
 pub(crate) mod gateway;
 pub(crate) mod key_digest;
--- a/crates/cyclamenpath/src/lib.rs
+++ b/crates/cyclamenpath/src/lib.rs
@@ -7,12 +7,16 @@
 
 pub mod output;
 
+use std::process::ExitCode;
+
 use clap::Parser;
 
 use options::{Arguments, Command};
 
 /// Parses the process arguments and runs the selected command.
-pub fn run() -> eyre::Result<()> {
+///
+/// Returns the exit code, which only checks set to anything but zero.
+pub fn run() -> eyre::Result<ExitCode> {
     let arguments = Arguments::parse();
     logging::init(arguments.log, arguments.command.is_server())?;
     let result = execute(arguments.command);
@@ -20,8 +24,20 @@
     result
 }
 
-fn execute(command: Command) -> eyre::Result<()> {
-    match command {
+fn execute(command: Command) -> eyre::Result<ExitCode> {
+    let done = match command {
+        Command::CheckConfiguration {
+            file,
+            comparison,
+            report,
+        } => {
+            let code = command::configuration::run(&file, &comparison, &report)?;
+            return Ok(code.into());
+        }
+        Command::CheckTables { files, report } => {
+            let code = command::configuration::run_tables(&files, &report)?;
+            return Ok(code.into());
+        }
         Command::Entry { settings } => command::entry::run(&settings),
         Command::Gateway { settings, grace_s } => command::gateway::run(&settings, grace_s),
         Command::Check { settings, gateway } => command::check::run(&settings, gateway),
@@ -31,5 +47,6 @@
         Command::Zone { action } => command::zone::run(action),
         Command::Status { target } => command::status::run(target),
         Command::KeyDigest { key } => command::key_digest::run(&key),
-    }
+    };
+    done.map(|()| ExitCode::SUCCESS)
 }
--- a/crates/cyclamenpath/src/main.rs
+++ b/crates/cyclamenpath/src/main.rs
@@ -1,5 +1,5 @@
 //! The released `cyclamenpath` binary.
 
-fn main() -> eyre::Result<()> {
+fn main() -> eyre::Result<std::process::ExitCode> {
     cyclamenpath::run()
 }
--- a/crates/cyclamenpath/src/options.rs
+++ b/crates/cyclamenpath/src/options.rs
@@ -47,6 +47,27 @@
         #[arg(long)]
         gateway: bool,
     },
+    /// Check a configuration of the users' platform before it is sent.
+    ///
+    /// Exits with 0 if entries adopt all of it, and with 2 if they do not.
+    CheckConfiguration {
+        /// The configuration, as a JSON file; `-` is standard input.
+        #[arg(long)]
+        file: PathBuf,
+        #[command(flatten)]
+        comparison: Comparison,
+        #[command(flatten)]
+        report: ReportOptions,
+    },
+    /// Check the routes and pools tables before they are sent.
+    ///
+    /// Exits with 0 if entries accept them, and with 2 if they do not.
+    CheckTables {
+        #[command(flatten)]
+        files: CheckedTables,
+        #[command(flatten)]
+        report: ReportOptions,
+    },
     /// Print a JSON schema.
     Schema {
         /// The document that the schema describes.
@@ -86,6 +107,48 @@
     }
 }
 
+/// What a configuration is compared with.
+#[derive(Debug, Clone, Args)]
+pub(crate) struct Comparison {
+    /// The configuration in force, as a JSON file.
+    #[arg(long)]
+    pub(crate) in_force: Option<PathBuf>,
+    /// The settings of a gateway, whose store holds the configuration in force; it is only read.
+    #[arg(long)]
+    pub(crate) settings: Option<PathBuf>,
+}
+
+/// The tables that are checked together.
+#[derive(Debug, Clone, Args)]
+pub(crate) struct CheckedTables {
+    /// The routes table, as a JSON file.
+    #[arg(long)]
+    pub(crate) routes: PathBuf,
+    /// The pools table, as a JSON file.
+    #[arg(long)]
+    pub(crate) pools: PathBuf,
+}
+
+/// How the result of a check is reported.
+#[derive(Debug, Clone, Copy, Args)]
+pub(crate) struct ReportOptions {
+    /// The form of the report.
+    #[arg(long, value_enum, default_value_t = Format::Text)]
+    pub(crate) format: Format,
+    /// Exit with 1 if there are warnings and no errors.
+    #[arg(long)]
+    pub(crate) deny_warnings: bool,
+}
+
+/// The form of a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub(crate) enum Format {
+    /// Lines for people.
+    Text,
+    /// A JSON document for scripts.
+    Json,
+}
+
 /// The document that a schema describes.
 #[derive(Debug, Clone, Copy, ValueEnum)]
 pub(crate) enum Schema {
