--- a/crates/cyclamen-dispatch/src/lib.rs
+++ b/crates/cyclamen-dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod pauses;
 mod request;
 mod retry_budget;
+pub mod split;
 
 pub use cell::{Cell, cell};
 pub use dispatcher::Dispatcher;
