replica, gateway: the number of groups of each model follows demand

The configuration's shares divide the workers, so one model's groups may be full while another's are half idle. With features.follow_demand entries measure and gossip what callers ask of each model, and the owners of domains compute alike which domains turn groups of one model into groups of another: only if a model lacks a whole group for five seconds and the other keeps its need. Members load the new weights while the group serves; then the head is closed with 'wait' and the freed workers form the new groups. New groups and spares follow the same needs from then on.

--- a/crates/cyclamen-gateway/src/frontend.rs
+++ b/crates/cyclamen-gateway/src/frontend.rs
@@ -83,7 +83,11 @@
         let owned_domains = owned.filter(|name| !is_service_scope(name)).count();
         let limited_workers = state.limits.count();
         let era = state.era;
+        let needs = state.group_needs();
         drop(state);
+        for need in &needs {
+            self.0.metrics.record_group_need(need);
+        }
         self.0.metrics.record_targets(&targets);
         self.0.metrics.record_contained_parts(contained);
         self.0.metrics.record_owned_domains(owned_domains);
--- a/crates/cyclamen-gateway/src/frontend/call.rs
+++ b/crates/cyclamen-gateway/src/frontend/call.rs
@@ -153,6 +153,8 @@
     pub(super) model: Option<model::Name>,
     pub(super) parts: Arc<[Part]>,
     pub(super) tokens: u64,
+    /// The number of tokens that the caller expects of the answer; zero if it does not say.
+    pub(super) answer_tokens: u64,
 }
 
 impl Prompt {
@@ -160,13 +162,14 @@
     pub(super) fn read(dialect: &Dialect, headers: &Headers, service: &Service) -> Self {
         let model = headers.get_str(dialect.model);
         let model = model.and_then(|text| text.parse().ok());
-        let tokens = headers.get_str(dialect.tokens);
-        let tokens = tokens.and_then(|text| text.split(',').next()?.parse().ok());
+        let tokens = headers.get_str(dialect.tokens).unwrap_or_default();
+        let mut tokens = tokens.split(',').map(|text| text.parse().ok());
         let parts = headers.get_str(dialect.prompt_parts);
         Self {
             model: model.filter(|_| service.engine.is_some()),
             parts: parts.map_or_else(Vec::new, shared_parts).into(),
-            tokens: tokens.unwrap_or(0),
+            tokens: tokens.next().flatten().unwrap_or(0),
+            answer_tokens: tokens.next().flatten().unwrap_or(0),
         }
     }
 }
--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -78,6 +78,16 @@
         let service = route.target(draw).and_then(|name| catalog.service(name));
         let service = service.ok_or(Refusal::unconfigured())?.clone();
         let prompt = Prompt::read(dialect, conn.request_headers(), &service);
+        if let Some(model) = &prompt.model {
+            let mut state = node.state();
+            state.record_demand(
+                arrived_at,
+                &service,
+                model,
+                prompt.tokens,
+                prompt.answer_tokens,
+            );
+        }
         let mut headers = cyclamen_relay::end_to_end(conn.request_headers());
         headers.remove_all([
             dialect.deadline_ms,
@@ -315,6 +325,11 @@
         } else {
             refusal
         };
+        let call = &self.call;
+        if let (Some(model), None, false) = (&call.model, &call.sender, self.finished) {
+            let mut state = call.node.state();
+            state.record_refused_demand(call.node.now(), &call.service, model);
+        }
         self.finish(refusal.reason, refusal.status, None);
         refusal
     }
--- a/crates/cyclamen-gateway/src/metrics.rs
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -8,7 +8,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 
-use crate::node::TargetCount;
+use crate::node::{GroupNeed, TargetCount};
 use crate::platform::Table;
 
 const SCOPE_NAME: &str = "cyclamenpath";
@@ -38,6 +38,8 @@
     limited_workers: Gauge<u64>,
     held_back: Counter<u64>,
     store_era: Gauge<u64>,
+    demanded_requests: Gauge<f64>,
+    needed_groups: Gauge<f64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
 }
@@ -72,6 +74,8 @@
             held_back: meter.u64_counter("requests_held_back").build(),
             limited_workers: meter.u64_gauge("limited_workers").build(),
             store_era: meter.u64_gauge("store_era").build(),
+            demanded_requests: meter.f64_gauge("demanded_requests").build(),
+            needed_groups: meter.f64_gauge("needed_groups").build(),
             table_age: meter.f64_gauge("table_age").with_unit("s").build(),
             first_byte: latency_histogram("first_byte"),
             duration: latency_histogram("request_duration"),
@@ -181,6 +185,17 @@
         self.limited_workers.record(count as u64, &[]);
     }
 
+    /// Records the demand for a model at all entries, and the groups that it needs.
+    pub(crate) fn record_group_need(&self, need: &GroupNeed) {
+        let labels = [
+            KeyValue::new("service", need.service.to_string()),
+            KeyValue::new("model", need.model.to_string()),
+        ];
+        self.demanded_requests
+            .record(need.requests_per_second, &labels);
+        self.needed_groups.record(need.groups, &labels);
+    }
+
     /// Records the highest era of the store that this entry knows of.
     pub(crate) fn record_store_era(&self, era: Era) {
         self.store_era.record(era.0, &[]);
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -1,6 +1,7 @@
 //! The node: the state of this entry, and its clients for calls to others.
 
 mod containment;
+mod demand;
 mod era;
 mod history;
 mod limits;
@@ -29,6 +30,7 @@
 use crate::platform::Platform;
 use crate::settings::Settings;
 
+pub(crate) use demand::GroupNeed;
 pub(crate) use limits::LimitSource;
 pub(crate) use ownership::OwnerRow;
 pub(crate) use peers::{Knowledge, Peer};
--- a/crates/cyclamen-gateway/src/node/peers.rs
+++ b/crates/cyclamen-gateway/src/node/peers.rs
@@ -6,6 +6,7 @@
 use cyclamen_cache::Revision;
 use cyclamen_directory::catalog::Version;
 use cyclamen_peer::{Capability, Gossip};
+use cyclamen_replica::Demand;
 use cyclamen_types::{Time, domain, entry, pool};
 
 /// What another entry knew when its gossip last arrived.
@@ -33,6 +34,8 @@
     pub(crate) is_draining: bool,
     /// When the store last answered it.
     pub(crate) store_answered_at: Time,
+    /// The demand of its callers, as it last said, and when.
+    pub(crate) demands: Option<(Time, Arc<[Demand]>)>,
 }
 
 impl Knowledge {
@@ -50,6 +53,15 @@
             uses_permits: gossip.uses_permits,
             is_draining: gossip.is_draining,
             store_answered_at: now - gossip.store_age,
+            demands: (!gossip.demands.is_empty()).then(|| (now, gossip.demands.as_slice().into())),
+        }
+    }
+
+    /// Takes over what the sender does not say because it has just started.
+    pub(crate) fn or_last(self, last: &Self) -> Self {
+        Self {
+            demands: self.demands.or_else(|| last.demands.clone()),
+            ..self
         }
     }
 }
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -20,6 +20,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::node::demand::Following;
 use crate::node::era::Recovery;
 use crate::node::history::History;
 use crate::node::odd_rows::OddRows;
@@ -107,6 +108,8 @@
     /// The shutdown of this entry, once it has begun.
     pub(crate) drain: Option<Schedule>,
     pub(crate) in_progress: u64,
+    /// The demand for each model, and the numbers of groups that follow it.
+    pub(super) following: Following,
     /// How long requests of each route last.
     pub(crate) durations: Durations<route::Name>,
     /// The number of requests handed over to each entry and in progress there.
@@ -166,6 +169,7 @@
             rng,
             drain: None,
             in_progress: 0,
+            following: Following::new(settings.features.follow_demand),
             durations: Durations::default(),
             handed_over: BTreeMap::new(),
             retry_options: settings.retries,
@@ -212,6 +216,7 @@
         let catalog = &self.catalog;
         self.retry_budgets
             .retain(|service, _| catalog.service(service).is_some());
+        self.following.retain_configured(catalog);
         let routes: BTreeSet<&route::Name> = catalog.routes().map(|route| &route.name).collect();
         self.durations.retain(|name| routes.contains(name));
     }
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -162,7 +162,7 @@
         if peer.incarnation_seen_at.is_none() || peer.incarnation != received.sender.incarnation {
             peer.incarnation_seen_at = Some(now);
         }
-        peer.knowledge = Knowledge::of(now, &received);
+        peer.knowledge = Knowledge::of(now, &received).or_last(&peer.knowledge);
         peer.incarnation = received.sender.incarnation;
     } else {
         // The entry is new: reset the read time so that its address is read from its row.
--- a/crates/cyclamen-gateway/src/tasks/gossip/message.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip/message.rs
@@ -103,7 +103,7 @@
         uses_permits: true,
         is_draining: state.is_draining(),
         store_age: now.since(state.store_answered_at),
-        demands: Vec::new(),
+        demands: state.demands_to_gossip(now),
         observations: Vec::new(),
         team_work: Vec::new(),
     }
--- a/crates/cyclamen-gateway/src/tasks/plan.rs
+++ b/crates/cyclamen-gateway/src/tasks/plan.rs
@@ -4,7 +4,9 @@
 
 use cyclamen_directory::Instance;
 use cyclamen_directory::service::Service;
-use cyclamen_replica::{Command, GroupCounts, Outcome, Start, State as GroupState, View, Worker};
+use cyclamen_replica::{
+    Command, Conversion, GroupCounts, Outcome, Start, State as GroupState, View, Worker,
+};
 use cyclamen_types::{Time, domain};
 use smol::Timer;
 use smol::future::or;
@@ -35,10 +37,11 @@
 }
 
 fn plan(state: &mut State, now: Time) -> Vec<Command> {
+    let catalog = state.catalog.clone();
+    state.follow_demand(now, &catalog);
     if state.is_draining() || !state.lease.is_held(now) {
         return Vec::new();
     }
-    let catalog = state.catalog.clone();
     let mut commands = Vec::new();
     for service in catalog.services() {
         if state.is_cut_off(now, &service.name) {
@@ -70,6 +73,8 @@
             continue;
         }
         let remote_groups = remote_groups(state, service, name);
+        planner.set_direction(state.direction(&service.name, name));
+        let before = planner.conversion().cloned();
         commands.extend(planner.plan(&View {
             now,
             engine,
@@ -78,11 +83,36 @@
             domain_count: domains,
             loading_domains,
         }));
+        log_conversion(name, before.as_ref(), planner.conversion());
     }
     state.ownership.planners = planners;
     commands
 }
 
+/// Logs the beginning, the step and the end of a conversion of groups.
+fn log_conversion(domain: &domain::Name, before: Option<&Conversion>, after: Option<&Conversion>) {
+    if before == after {
+        return;
+    }
+    let Some(conversion) = after.or(before) else {
+        return;
+    };
+    let reason = match (before, after) {
+        (_, Some(after)) if after.closing_since.is_some() => "prepared",
+        (_, Some(_)) => "short",
+        (Some(before), None) if before.closing_since.is_some() => "closed",
+        (_, None) => "dropped",
+    };
+    for (group, fence) in &conversion.groups {
+        log::info!(
+            "event=group_conversion domain={domain} group={group} fence={fence} from={} to={} \
+             reason={reason}",
+            conversion.shift.from,
+            conversion.shift.to
+        );
+    }
+}
+
 fn workers(state: &State, now: Time, service: &Service, domain: &domain::Name) -> Vec<Worker> {
     let records = state.registry.records();
     let of_domain = records.filter(|record| {
--- a/crates/cyclamen-replica/src/counts.rs
+++ b/crates/cyclamen-replica/src/counts.rs
@@ -8,6 +8,12 @@
 /// The number of groups of each model.
 pub type GroupCounts = BTreeMap<model::Name, usize>;
 
+/// The relative amount of work of each model.
+pub type Shares = BTreeMap<model::Name, f64>;
+
+/// The number of groups of a model elsewhere with which a domain need not hold the model.
+const ENOUGH_ELSEWHERE: usize = 2;
+
 /// Returns the target number of groups of each model: the `existing` groups and
 /// those that `workers` free workers should form.
 ///
@@ -20,14 +26,46 @@
     workers: usize,
     existing: &GroupCounts,
     remote: &GroupCounts,
+) -> GroupCounts {
+    let share = |model: &Model| model.share;
+    add_groups(engine, workers, existing, remote, share, |_| false)
+}
+
+/// Returns the target number of groups of each model as [`target_counts`] does, with shares that
+/// follow demand.
+///
+/// The first group of a model in the domain has no precedence if there are enough of them in
+/// others.
+pub fn following_counts(
+    engine: &Engine,
+    workers: usize,
+    existing: &GroupCounts,
+    remote: &GroupCounts,
+    shares: &Shares,
+) -> GroupCounts {
+    let share = |model: &Model| shares.get(&model.name).copied().unwrap_or(model.share);
+    let elsewhere = |model: &Model| {
+        let count = remote.get(&model.name).copied().unwrap_or(0);
+        count >= ENOUGH_ELSEWHERE
+    };
+    add_groups(engine, workers, existing, remote, share, elsewhere)
+}
+
+fn add_groups(
+    engine: &Engine,
+    workers: usize,
+    existing: &GroupCounts,
+    remote: &GroupCounts,
+    share: impl Fn(&Model) -> f64,
+    is_elsewhere: impl Fn(&Model) -> bool,
 ) -> GroupCounts {
     let mut counts = existing.clone();
     let count = |counts: &GroupCounts, model: &Model| counts.get(&model.name).copied().unwrap_or(0);
     let mut left = workers;
     loop {
-        let used: BTreeMap<_, _> = counts.iter().filter(|(_, n)| **n > 0).collect();
+        let has_one = |model: &Model| count(&counts, model) > 0 || is_elsewhere(model);
         let fits = |model: &&Model| {
-            let spares = if used.contains_key(&model.name) {
+            let spares = if has_one(model) {
                 engine.models.len()
             } else {
                 0
@@ -37,12 +75,11 @@
         let capacity = |model: &Model| {
             let here = count(&counts, model) as f64;
             let there = count(remote, model) as f64;
-            (here + there) * model.size as f64 / model.share.max(f64::MIN_POSITIVE)
+            (here + there) * model.size as f64 / share(model).max(f64::MIN_POSITIVE)
         };
-        let here = |model: &Model| count(&counts, model);
         let candidates = engine.models.iter().filter(fits);
         let next = candidates.min_by(|a, b| {
-            let by_here = here(a).min(1).cmp(&here(b).min(1));
+            let by_here = has_one(a).cmp(&has_one(b));
             let by_capacity = capacity(a).total_cmp(&capacity(b));
             by_here.then(by_capacity).then(b.size.cmp(&a.size))
         });
--- a/crates/cyclamen-replica/src/demand.rs
+++ b/crates/cyclamen-replica/src/demand.rs
@@ -1,7 +1,15 @@
-//! The work that callers ask for.
+//! The work that callers ask for, and the groups that it needs.
+
+mod meter;
+mod need;
+mod total;
 
 use cyclamen_types::{model, pool};
 
+pub use meter::Meter;
+pub use need::{Needs, needs};
+pub use total::{Report, total};
+
 /// The work that callers lately asked for of one model, at one entry or at all of them.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Demand {
--- a/crates/cyclamen-replica/src/lib.rs
+++ b/crates/cyclamen-replica/src/lib.rs
@@ -6,6 +6,7 @@
 //! orders with an obsolete fencing token. A new owner keeps the groups that still
 //! serve.
 
+mod balance;
 mod counts;
 mod demand;
 mod detector;
@@ -14,10 +15,11 @@
 mod planner;
 mod reach;
 
-pub use counts::{GroupCounts, target_counts};
-pub use demand::Demand;
+pub use balance::{Balance, Guidance, Shift, Site, sites};
+pub use counts::{GroupCounts, Shares, following_counts, target_counts};
+pub use demand::{Demand, Meter, Needs, Report, needs, total};
 pub use detector::{Detector, Start, Timing};
 pub use groups::{Group, Groups, State};
 pub use order::{CloseMode, Command, Order, Outcome};
-pub use planner::{Options, Planner, View, Worker, loading_domains};
+pub use planner::{Conversion, Direction, Options, Planner, View, Worker, loading_domains};
 pub use reach::{Change, Reach};
--- a/crates/cyclamen-replica/src/planner.rs
+++ b/crates/cyclamen-replica/src/planner.rs
@@ -1,6 +1,7 @@
 //! Planning of the orders that keep the groups of one fabric domain complete.
 
 mod backoff;
+mod conversion;
 mod dissolving;
 mod forming;
 mod loads;
@@ -18,6 +19,7 @@
 use crate::groups::{Group, Groups, State};
 use crate::order::{Command, Order, Outcome};
 use backoff::Backoff;
+pub use conversion::{Conversion, Direction};
 use dissolving::Dissolving;
 use forming::Forming;
 use loads::Loads;
@@ -50,6 +52,10 @@
     warm_ups: BTreeMap<instance::Id, Time>,
     /// The last number of listed workers, and since when it has not grown.
     listed: Option<(usize, Time)>,
+    direction: Direction,
+    conversion: Option<Conversion>,
+    /// When the last conversion closed its groups.
+    converted_at: Option<Time>,
 }
 
 impl Planner {
@@ -68,6 +74,9 @@
             loads: Loads::default(),
             warm_ups: BTreeMap::new(),
             listed: None,
+            direction: Direction::default(),
+            conversion: None,
+            converted_at: None,
         }
     }
 
@@ -94,10 +103,13 @@
         }
         if has_enough_workers(view) {
             let mut free = self.free_workers(view, &groups);
-            let existing = self.existing_groups(view, &groups);
-            self.form_groups(view, &existing, &mut free, &mut orders);
-            let existing = self.existing_groups(view, &groups);
-            self.prepare_spares(view, &existing, &free, &mut orders);
+            if !self.awaits_closed(view, &groups, &mut free, &mut orders) {
+                let existing = self.existing_groups(view, &groups);
+                self.form_groups(view, &existing, &mut free, &mut orders);
+                let existing = self.existing_groups(view, &groups);
+                self.prepare_spares(view, &existing, &free, &mut orders);
+            }
+            self.convert(view, &groups, &free, &mut orders);
         }
         orders.retain(|command| self.is_due(view.now, command));
         for command in &orders {
--- a/crates/cyclamen-replica/src/planner/forming.rs
+++ b/crates/cyclamen-replica/src/planner/forming.rs
@@ -8,7 +8,7 @@
 use cyclamen_directory::service::Model;
 use cyclamen_types::{Time, group, instance, model};
 
-use crate::counts::{GroupCounts, target_counts};
+use crate::counts::GroupCounts;
 use crate::groups::Groups;
 use crate::order::{Command, Order};
 use crate::planner::loads::LOAD_TIMEOUT_FACTOR;
@@ -110,7 +110,7 @@
         free: &mut Vec<&Worker>,
         orders: &mut Vec<Command>,
     ) {
-        let wanted = target_counts(view.engine, free.len(), existing, view.remote_groups);
+        let wanted = self.wanted_groups(view, free.len(), existing);
         for model in &view.engine.models {
             let present = existing.get(&model.name).copied().unwrap_or(0);
             let missing = wanted
@@ -118,11 +118,23 @@
                 .copied()
                 .unwrap_or(0)
                 .saturating_sub(present);
-            for _ in 0..missing {
-                if let Some(members) = self.select_workers(view, free, &model.name, model.size) {
-                    free.retain(|w| !members.iter().any(|m| m.id == w.instance.id));
-                    self.form(view.now, model, members, orders);
-                }
+            self.form_of(view, model, missing, free, orders);
+        }
+    }
+
+    /// Forms so many groups of a model, as far as the free workers allow.
+    pub(super) fn form_of(
+        &mut self,
+        view: &View<'_>,
+        model: &Model,
+        count: usize,
+        free: &mut Vec<&Worker>,
+        orders: &mut Vec<Command>,
+    ) {
+        for _ in 0..count {
+            if let Some(members) = self.select_workers(view, free, &model.name, model.size) {
+                free.retain(|w| !members.iter().any(|m| m.id == w.instance.id));
+                self.form(view.now, model, members, orders);
             }
         }
     }
--- a/crates/cyclamen-replica/src/planner/loads.rs
+++ b/crates/cyclamen-replica/src/planner/loads.rs
@@ -13,11 +13,13 @@
 /// The multiple of its normal time after which a load counts as failed.
 pub(super) const LOAD_TIMEOUT_FACTOR: u32 = 3;
 
-/// A load of weights onto the host of a worker that is in no group.
+/// A load of weights onto the host of a worker.
 #[derive(Debug)]
 struct Staging {
     model: model::Name,
     since: Time,
+    /// Whether the worker was in a group at the last plan, and so is no spare.
+    is_member: bool,
 }
 
 /// The loads of weights that a planner has ordered.
@@ -32,8 +34,14 @@
     /// Records an order to load weights onto a host.
     pub(super) fn record_stage(&mut self, now: Time, id: &instance::Id, model: &model::Name) {
         let model = model.clone();
-        self.staging
-            .insert(id.clone(), Staging { model, since: now });
+        self.staging.insert(
+            id.clone(),
+            Staging {
+                model,
+                since: now,
+                is_member: false,
+            },
+        );
         self.ordered_at.push(now);
     }
 
@@ -57,6 +65,7 @@
             let load = view.engine.model(&staging.model).map(|m| m.load);
             let timeout = load.unwrap_or_default();
             let timeout = timeout.saturating_mul(LOAD_TIMEOUT_FACTOR);
+            staging.is_member = worker.instance.membership.is_some();
             let ended = worker.instance.staged.contains(&staging.model);
             !ended && view.now.since(staging.since) < timeout
         });
@@ -67,9 +76,15 @@
         self.staging.contains_key(id)
     }
 
-    /// Counts the hosts onto which the weights of a model are being loaded.
+    /// Returns whether the weights of a model are being loaded onto the host of a worker.
+    pub(super) fn is_loading(&self, id: &instance::Id, model: &Model) -> bool {
+        let staging = self.staging.get(id);
+        staging.is_some_and(|staging| staging.model == model.name)
+    }
+
+    /// Counts the hosts of workers outside groups onto which the weights of a model are being loaded.
     pub(super) fn staging_count(&self, model: &Model) -> usize {
-        let staging = self.staging.values();
+        let staging = self.staging.values().filter(|s| !s.is_member);
         staging.filter(|s| s.model == model.name).count()
     }
 }
@@ -80,9 +95,20 @@
     /// No limit applies while no worker of the domain holds any weights.
     pub(super) fn may_load(&self, view: &View<'_>, count: usize) -> bool {
         let initial = view.workers.iter().all(|w| w.instance.staged.is_empty());
+        initial || self.is_within_limits(view, count, 0)
+    }
+
+    /// Returns whether one load of weights may begin now while so many domains turn groups into
+    /// groups of other models.
+    pub(super) fn may_load_beside(&self, view: &View<'_>, shifting_domains: usize) -> bool {
+        self.is_within_limits(view, 1, shifting_domains)
+    }
+
+    fn is_within_limits(&self, view: &View<'_>, count: usize, shifting_domains: usize) -> bool {
         let in_rate = self.loads.ordered_at.len().saturating_add(count) <= self.rate_limit(view);
-        let in_progress = self.loads_in_progress(view);
-        initial || in_rate && in_progress.saturating_add(count) <= concurrency_limit(view)
+        let in_progress = self.loads_in_progress(view).saturating_add(count);
+        let sharing = view.loading_domains.saturating_add(shifting_domains);
+        in_rate && in_progress <= concurrency_limit(view, sharing)
     }
 
     /// Returns how many loads may begin in a window: this domain's share of the weight store's
@@ -142,8 +168,9 @@
 /// Returns how many loads may be in progress in this domain: its share of what the weight store
 /// bears, but at least one.
 ///
-/// Only domains that [`loading_domains`] counts share it; the others rarely load any.
-fn concurrency_limit(view: &View<'_>) -> usize {
+/// Only domains that [`loading_domains`] counts, and those that turn groups into others, share it;
+/// the others rarely load any.
+fn concurrency_limit(view: &View<'_>, sharing: usize) -> usize {
     let all = view.engine.concurrent_loads.unwrap_or(usize::MAX);
-    (all / view.loading_domains.max(1)).max(1)
+    (all / sharing.max(1)).max(1)
 }
--- a/crates/cyclamen-replica/src/planner/spares.rs
+++ b/crates/cyclamen-replica/src/planner/spares.rs
@@ -7,7 +7,7 @@
 use cyclamen_directory::service::Model;
 use cyclamen_types::group;
 
-use crate::counts::{GroupCounts, target_counts};
+use crate::counts::GroupCounts;
 use crate::groups::Group;
 use crate::order::{Command, Order};
 use crate::planner::forming::{JoinCost, count_spares};
@@ -45,7 +45,7 @@
 /// probability that at least `count` members are lost in that time.
 fn spare_value(model: &Model, groups: usize, count: usize) -> f64 {
     let load = model.load.as_secs_f64();
-    let members = groups.max(1) as f64 * model.size as f64;
+    let members = groups as f64 * model.size as f64;
     let expected = members * LOSSES_PER_MEMBER_SECOND * load;
     model.size as f64 * load * poisson_tail(count, expected)
 }
@@ -71,7 +71,7 @@
         orders: &mut Vec<Command>,
     ) {
         let mut spares = count_spares(free);
-        let wanted = target_counts(view.engine, free.len(), existing, view.remote_groups);
+        let wanted = self.wanted_groups(view, free.len(), existing);
         let mut idle: Vec<&Worker> = free.to_vec();
         idle.retain(|w| self.is_idle(&w.instance));
         let mut missing: Vec<(&Model, usize)> = Vec::new();
@@ -123,7 +123,12 @@
         idle: &[&'a Worker],
     ) -> Option<(&'a Worker, &'a Model)> {
         let held = |model: &Model| spares.get(&model.name).copied().unwrap_or(0);
-        let groups = |model: &Model| existing.get(&model.name).copied().unwrap_or(0);
+        // A domain that need not hold every model keeps no spares for those that it lacks.
+        let least = usize::from(self.direction.shares.is_none());
+        let groups = |model: &Model| {
+            let count = existing.get(&model.name).copied().unwrap_or(0);
+            count.max(least)
+        };
         let gain = |model: &Model| spare_value(model, groups(model), held(model) + 1);
         let models = view.engine.models.iter();
         let best = models.max_by(|a, b| gain(a).total_cmp(&gain(b)))?;
--- a/crates/cyclamen-replica/tests/replica/main.rs
+++ b/crates/cyclamen-replica/tests/replica/main.rs
@@ -2,7 +2,10 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+mod balance;
+mod conversion;
 mod counts;
+mod demand;
 mod detector;
 mod groups;
 mod loads;
--- a/crates/cyclamen-replica/tests/replica/simulation.rs
+++ b/crates/cyclamen-replica/tests/replica/simulation.rs
@@ -8,7 +8,7 @@
 use cyclamen_directory::Instance;
 use cyclamen_directory::instance::{Membership, Phase, Status};
 use cyclamen_directory::service::{Engine, Model};
-use cyclamen_replica::{Command, GroupCounts, Order, Outcome, Planner, View, Worker};
+use cyclamen_replica::{Command, Direction, GroupCounts, Order, Outcome, Planner, View, Worker};
 use cyclamen_types::{Time, group, instance, model};
 
 pub const TICK: Duration = Duration::from_millis(50);
@@ -119,6 +119,10 @@
     pub domain_count: usize,
     /// The number of fabric domains that load weights.
     pub loading_domains: usize,
+    /// The number of groups of each model in other domains.
+    pub remote_groups: GroupCounts,
+    /// What the planner is told of the needs of the fleet.
+    pub direction: Direction,
     /// How orders are delivered.
     pub delivery: Delivery,
     /// Violations of the invariants.
@@ -153,6 +157,8 @@
             listings: VecDeque::new(),
             domain_count: 6,
             loading_domains: 6,
+            remote_groups: GroupCounts::new(),
+            direction: Direction::default(),
             delivery: Delivery::Immediate,
             violations: Vec::new(),
             ready: BTreeMap::new(),
@@ -266,6 +272,11 @@
         counts
     }
 
+    /// Returns whether a planner converts groups.
+    pub fn is_converting(&self) -> bool {
+        self.planner.conversion().is_some()
+    }
+
     /// Returns the number of loads of weights so far, apart from loads that are part of a join.
     pub fn load_count(&self) -> usize {
         self.load_times.len()
@@ -331,10 +342,11 @@
             now: self.now,
             engine: &self.engine,
             workers: &workers,
-            remote_groups: &GroupCounts::new(),
+            remote_groups: &self.remote_groups,
             domain_count: self.domain_count,
             loading_domains: self.loading_domains,
         };
+        self.planner.set_direction(self.direction.clone());
         for command in self.planner.plan(&view) {
             self.orders.push((self.now, command.clone()));
             let outcome = match self.delivery {
