--- a/crates/cyclamen-replica/tests/replica/conversion.rs
+++ b/crates/cyclamen-replica/tests/replica/conversion.rs
@@ -4,6 +4,8 @@
 
 use cyclamen_replica::{CloseMode, Direction, Order, Shift};
 use cyclamen_types::model;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
 
 use crate::simulation::{Delivery, Simulation};
 
@@ -247,3 +249,76 @@
     sim.run(CONVERSION);
     assert_eq!((count(&sim, "large"), count(&sim, "small")), (large, small));
 }
+
+#[derive(Debug, Clone)]
+enum Event {
+    CrashMember(usize),
+    Restart(usize),
+    Leave(usize),
+    Add,
+    Deliver(Delivery),
+    ReplacePlanner,
+    Lag(u64),
+    Need(Option<bool>),
+    Wait(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        2 => (0..8_usize).prop_map(Event::CrashMember),
+        2 => (0..16_usize).prop_map(Event::Restart),
+        1 => (0..16_usize).prop_map(Event::Leave),
+        2 => Just(Event::Add),
+        1 => (50..5_000_u64).prop_map(|millis| Event::Deliver(Delivery::Delayed(millis))),
+        1 => Just(Event::Deliver(Delivery::Lost)),
+        2 => Just(Event::Deliver(Delivery::Immediate)),
+        1 => Just(Event::ReplacePlanner),
+        1 => (0..800_u64).prop_map(Event::Lag),
+        3 => prop::option::of(any::<bool>()).prop_map(Event::Need),
+        8 => (50..20_000_u64).prop_map(Event::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 30,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Under any sequence of failures and of needs, no group opens without all of its members, no
+    /// member of a serving group joins another one, and once they end, the domain serves again.
+    #[test]
+    fn failures_halfway_leave_no_group_closed_and_no_worker_in_two(
+        events in prop::collection::vec(event(), 1..30),
+    ) {
+        let mut sim = domain();
+        for event in events {
+            match event {
+                Event::CrashMember(n) => sim.crash_member(n),
+                Event::Restart(n) => sim.restart(n),
+                Event::Leave(n) => sim.leave(n),
+                Event::Add => sim.add(),
+                Event::Deliver(delivery) => sim.delivery = delivery,
+                Event::ReplacePlanner => sim.replace_planner(),
+                Event::Lag(millis) => sim.lag = Duration::from_millis(millis),
+                Event::Need(None) => sim.direction.shift = None,
+                Event::Need(Some(true)) => sim.direction = shift("large", "small"),
+                Event::Need(Some(false)) => sim.direction = shift("small", "large"),
+                Event::Wait(millis) => sim.run(Duration::from_millis(millis)),
+            }
+            prop_assert_eq!(&sim.violations, &Vec::<String>::new());
+        }
+        sim.delivery = Delivery::Immediate;
+        sim.direction.shift = None;
+        for n in 0..16 {
+            sim.restart(n);
+        }
+        sim.run(Duration::from_secs(90));
+        prop_assert_eq!(&sim.violations, &Vec::<String>::new());
+        let serving = 4 * count(&sim, "large") + 2 * count(&sim, "small");
+        prop_assert!(serving >= 6, "{:?}", sim.serving());
+        prop_assert!(!sim.is_converting());
+    }
+}
