dispatch, gateway: workers chosen by observed loads and speeds

An entry knew of other cells' requests only by chance, took every group for sound, and kept work in its zone until another one was better by a fixed part of the goal. With features.observed_loads the owner of a fabric domain asks its heads for their reports, entries pass observations on, the forecast is multiplied by the pace learnt, and the preference for near workers ends when their queue uses half of the slack of the goal. Without it, choices are as before; running sums of peers' loads and an index by model replace the sums and the scan of every request.

Tests: cyclamen-dispatch/tests/observation.rs.

--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -1,10 +1,13 @@
 //! Load-aware selection among the workers that accept requests.
 
 mod admission;
+mod choice;
 mod cost;
+mod observing;
 mod peers;
 mod rejections;
 mod worker;
+mod workers;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -13,12 +16,15 @@
 use cyclamen_types::{Time, group, instance};
 use rand::Rng;
 
+use crate::observation::Knowledge;
 use crate::options::Options;
 use crate::pauses::Pauses;
 use crate::request::{Criteria, Dispatch, Load, Outcome, Refusal, Target};
+use choice::Candidate;
 use peers::PeerLoads;
 use rejections::Rejections;
 use worker::{InProgress, Worker};
+use workers::Workers;
 
 /// Upper bound of the random cost that breaks ties, in multiples of the latency goal.
 const TIE_BREAK_COST: f64 = 0.02;
@@ -28,7 +34,7 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     options: Options,
-    workers: BTreeMap<WorkerKey, Worker>,
+    workers: Workers,
     /// Workers that accept no requests now, but run some.
     resting: BTreeMap<WorkerKey, Worker>,
     peers: PeerLoads,
@@ -41,7 +47,7 @@
     pub fn new(options: Options) -> Self {
         Self {
             options,
-            workers: BTreeMap::new(),
+            workers: Workers::default(),
             resting: BTreeMap::new(),
             peers: PeerLoads::default(),
             pauses: Pauses::default(),
@@ -52,7 +58,7 @@
     /// Replaces the workers that accept requests; the load of those that stay is kept, and that of
     /// the others while they run requests.
     pub fn refresh(&mut self, targets: impl IntoIterator<Item = Target>) {
-        let mut before = std::mem::take(&mut self.workers);
+        let mut before = self.workers.take();
         before.append(&mut self.resting);
         for target in targets {
             let key = (target.instance.clone(), target.fence);
@@ -64,9 +70,10 @@
                     target,
                     in_progress: InProgress::default(),
                     last_failure: None,
+                    knowledge: Knowledge::default(),
                 },
             };
-            self.workers.insert(key, worker);
+            self.workers.insert(worker);
         }
         before.retain(|_, worker| worker.in_progress.running > 0);
         self.resting = before;
@@ -79,11 +86,12 @@
         criteria: &Criteria<'_>,
         rng: &mut impl Rng,
     ) -> Result<Dispatch, Refusal> {
-        let peers = self.peers.sums(now, self.options.peer_load_ttl);
+        self.peers.expire(now, self.options.peer_load_ttl);
+        let known = self.known_work(criteria);
         let mut rejections = Rejections::default();
-        let mut best: Option<(f64, WorkerKey, InProgress)> = None;
-        for (key, worker) in &self.workers {
-            if !worker.matches(criteria) {
+        let mut candidates: Vec<Candidate<'_>> = Vec::new();
+        for (key, worker) in self.workers.of(criteria.service, criteria.model) {
+            if worker.is_excluded(criteria) {
                 continue;
             }
             rejections.workers += 1;
@@ -91,10 +99,8 @@
                 rejections.record_pause(remaining);
                 continue;
             }
-            let theirs = peers.get(key).copied();
-            let in_progress =
-                theirs.map_or(worker.in_progress, |theirs| worker.in_progress.plus(theirs));
-            let wait = worker.forecast_wait(in_progress, criteria.tokens, &self.options);
+            let candidate = self.candidate(now, criteria, key, worker, known);
+            let (in_progress, wait) = (candidate.in_progress, candidate.wait);
             if !self
                 .options
                 .accepts(criteria, &worker.target, in_progress, wait)
@@ -106,31 +112,43 @@
                 rejections.record_hold(hold, worker.target.limit.is_some());
                 continue;
             }
-            let cost = self.options.cost(now, criteria, worker, wait)
-                + rng.random::<f64>() * TIE_BREAK_COST;
-            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, key.clone(), in_progress));
-            }
+            candidates.push(candidate);
         }
-        let chosen =
-            best.and_then(|(_, key, in_progress)| Some((self.workers.get_mut(&key)?, in_progress)));
-        let Some((worker, in_progress)) = chosen else {
-            return Err(rejections.refusal(criteria, &self.options, rng));
+        let options = &self.options;
+        let chosen = if options.observed_loads && criteria.model.is_some() {
+            choice::choose(now, criteria, options, candidates, rng)
+        } else {
+            choice::least_cost(now, criteria, options, candidates, rng)
         };
-        let forecast = worker.forecast_wait(in_progress, criteria.tokens, &self.options);
-        let this = InProgress {
-            running: 1,
-            backlog: criteria.tokens,
+        let Some(chosen) = chosen else {
+            return Err(rejections.refusal(criteria, &self.options, rng));
         };
-        worker.in_progress = worker.in_progress.plus(this);
-        Ok(Dispatch {
-            target: worker.target.clone(),
+        let dispatch = Dispatch {
+            target: chosen.worker.target.clone(),
             chosen_at: now,
-            running: in_progress.running,
-            backlog: in_progress.backlog,
+            running: chosen.in_progress.running,
+            backlog: chosen.in_progress.backlog,
             tokens: criteria.tokens,
-            forecast,
-        })
+            forecast: chosen.wait,
+            pace: chosen.pace,
+            observed: chosen.worker.knowledge.age(now),
+        };
+        self.record_sent(now, &dispatch);
+        Ok(dispatch)
+    }
+
+    /// Counts a request on its worker.
+    fn record_sent(&mut self, now: Time, dispatch: &Dispatch) {
+        let Some(worker) = self.workers.get_mut(&dispatch.target) else {
+            return;
+        };
+        worker.in_progress = worker.in_progress.plus(InProgress {
+            running: 1,
+            backlog: dispatch.tokens,
+        });
+        if self.options.observed_loads {
+            worker.knowledge.record_sent(now, dispatch.target.slots);
+        }
     }
 
     /// Records that a worker wants no requests from this entry for a while.
@@ -201,7 +219,7 @@
     fn worker_of(&mut self, dispatch: &Dispatch) -> Option<&mut Worker> {
         let target = &dispatch.target;
         let key = (target.instance.clone(), target.fence);
-        let worker = self.workers.get_mut(&key);
+        let worker = self.workers.get_mut(target);
         let worker = worker.or_else(|| self.resting.get_mut(&key));
         worker.filter(|w| w.target.incarnation == target.incarnation)
     }
@@ -232,7 +250,7 @@
 
     /// Returns the workers that accept requests.
     pub fn targets(&self) -> impl Iterator<Item = &Target> {
-        self.workers.values().map(|worker| &worker.target)
+        self.workers.iter().map(|(_, worker)| &worker.target)
     }
 
     /// Returns the number of other entries whose loads are held.
--- a/crates/cyclamen-dispatch/src/dispatcher/cost.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher/cost.rs
@@ -36,6 +36,12 @@
         } else {
             self.other_cell_cost
         };
+        wait.as_secs_f64() / goal + locality + self.penalty(now, worker)
+    }
+
+    /// Returns the additional cost of a worker that may have failed or is in need.
+    pub(super) fn penalty(&self, now: Time, worker: &Worker) -> f64 {
+        let target = &worker.target;
         let failed = worker
             .last_failure
             .is_some_and(|at| now.since(at) < self.failure_cooldown);
@@ -49,6 +55,6 @@
         } else {
             0.0
         };
-        wait.as_secs_f64() / goal + locality + failure + limit
+        failure + limit
     }
 }
--- a/crates/cyclamen-dispatch/src/dispatcher/peers.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher/peers.rs
@@ -1,6 +1,6 @@
 //! The loads that other entries report.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use cyclamen_types::Time;
@@ -9,9 +9,25 @@
 use crate::dispatcher::worker::InProgress;
 use crate::request::Load;
 
-/// The requests that each other entry has in progress.
+/// The most queued tokens that a load may name, so that sums stay exact; more than any worker has.
+const MAX_BACKLOG: u64 = 1 << 40;
+
+/// The requests that each other entry has in progress, and their sums.
 #[derive(Debug, Default)]
-pub(super) struct PeerLoads(BTreeMap<String, (Time, BTreeMap<WorkerKey, InProgress>)>);
+pub(super) struct PeerLoads {
+    entries: BTreeMap<String, (Time, Vec<(WorkerKey, InProgress)>)>,
+    sums: HashMap<WorkerKey, Sum>,
+    /// No entry's loads are older.
+    oldest: Option<Time>,
+}
+
+/// The exact sum of the loads on a worker; the largest one of the counts cannot overflow it.
+#[derive(Debug, Default)]
+struct Sum {
+    loads: usize,
+    running: u64,
+    backlog: u64,
+}
 
 impl PeerLoads {
     /// Replaces the loads of an entry, and forgets entries whose loads are no longer valid.
@@ -22,30 +38,72 @@
         peer: &str,
         loads: impl IntoIterator<Item = Load>,
     ) {
-        let in_progress = loads.into_iter().map(|load| {
-            let Load {
-                running, backlog, ..
-            } = load;
-            ((load.instance, load.fence), InProgress { running, backlog })
-        });
-        self.0.retain(|_, (at, _)| now.since(*at) < ttl);
-        self.0
-            .insert(peer.to_string(), (now, in_progress.collect()));
+        // A worker that is named twice counts once, as it was named last.
+        let loads: BTreeMap<WorkerKey, InProgress> = loads
+            .into_iter()
+            .map(|load| {
+                let in_progress = InProgress {
+                    running: load.running,
+                    backlog: load.backlog.min(MAX_BACKLOG),
+                };
+                ((load.instance, load.fence), in_progress)
+            })
+            .collect();
+        let loads: Vec<_> = loads.into_iter().collect();
+        for (key, in_progress) in &loads {
+            let sum = self.sums.entry(key.clone()).or_default();
+            sum.loads += 1;
+            sum.running += u64::from(in_progress.running);
+            sum.backlog += in_progress.backlog;
+        }
+        self.oldest = Some(self.oldest.map_or(now, |oldest| oldest.min(now)));
+        if let Some((_, former)) = self.entries.insert(peer.to_string(), (now, loads)) {
+            self.subtract(former);
+        }
+        self.expire(now, ttl);
     }
 
-    /// Returns the sum of the valid loads on each worker.
-    pub(super) fn sums(&self, now: Time, ttl: Duration) -> BTreeMap<WorkerKey, InProgress> {
-        let mut sums: BTreeMap<WorkerKey, InProgress> = BTreeMap::new();
-        let fresh = self.0.values().filter(|(at, _)| now.since(*at) < ttl);
-        for (key, in_progress) in fresh.flat_map(|(_, loads)| loads) {
-            let sum = sums.entry(key.clone()).or_default();
-            *sum = sum.plus(*in_progress);
+    /// Forgets entries whose loads are no longer valid.
+    pub(super) fn expire(&mut self, now: Time, ttl: Duration) {
+        if self.oldest.is_none_or(|oldest| now.since(oldest) < ttl) {
+            return;
         }
-        sums
+        let is_old = |(at, _): &(Time, Vec<_>)| now.since(*at) >= ttl;
+        let old = self.entries.iter().filter(|(_, loads)| is_old(loads));
+        let old: Vec<String> = old.map(|(peer, _)| peer.clone()).collect();
+        for peer in old {
+            if let Some((_, loads)) = self.entries.remove(&peer) {
+                self.subtract(loads);
+            }
+        }
+        self.oldest = self.entries.values().map(|(at, _)| *at).min();
+    }
+
+    fn subtract(&mut self, loads: Vec<(WorkerKey, InProgress)>) {
+        for (key, in_progress) in loads {
+            let Some(sum) = self.sums.get_mut(&key) else {
+                continue;
+            };
+            sum.loads -= 1;
+            sum.running -= u64::from(in_progress.running);
+            sum.backlog -= in_progress.backlog;
+            if sum.loads == 0 {
+                self.sums.remove(&key);
+            }
+        }
+    }
+
+    /// Returns the sum of the loads on a worker; [`Self::expire`] has to be called before.
+    pub(super) fn sum(&self, key: &WorkerKey) -> Option<InProgress> {
+        let sum = self.sums.get(key)?;
+        Some(InProgress {
+            running: u32::try_from(sum.running).unwrap_or(u32::MAX),
+            backlog: sum.backlog,
+        })
     }
 
     /// Returns the number of entries whose loads are held.
     pub(super) fn count(&self) -> usize {
-        self.0.len()
+        self.entries.len()
     }
 }
--- a/crates/cyclamen-dispatch/src/dispatcher/worker.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher/worker.rs
@@ -4,6 +4,7 @@
 
 use cyclamen_types::{Time, instance};
 
+use crate::observation::Knowledge;
 use crate::options::Options;
 use crate::request::{Criteria, Target};
 
@@ -29,6 +30,8 @@
     pub(super) target: Target,
     pub(super) in_progress: InProgress,
     pub(super) last_failure: Option<Time>,
+    /// What was observed of it, if loads and speeds are.
+    pub(super) knowledge: Knowledge,
 }
 
 impl Worker {
@@ -37,23 +40,25 @@
         (&self.target.instance, self.target.incarnation)
     }
 
-    pub(super) fn matches(&self, criteria: &Criteria<'_>) -> bool {
-        let target = &self.target;
-        let serves = target.service == *criteria.service && target.model.as_ref() == criteria.model;
-        serves && !criteria.exclude.contains(&target.instance)
+    pub(super) fn is_excluded(&self, criteria: &Criteria<'_>) -> bool {
+        criteria.exclude.contains(&self.target.instance)
     }
 
-    /// Returns the forecast wait for the first part of a response.
+    /// Returns the forecast wait for the first part of a response, at a multiple of the pace of a
+    /// sound worker.
     pub(super) fn forecast_wait(
         &self,
         in_progress: InProgress,
         tokens: u64,
+        pace: f64,
         options: &Options,
     ) -> Duration {
         match &self.target.forecast {
             Some(forecast) => {
                 let running = in_progress.running.min(self.target.slots);
-                let wait = forecast.wait(in_progress.backlog, tokens, running);
+                let wait = forecast
+                    .at_pace(pace)
+                    .wait(in_progress.backlog, tokens, running);
                 options.overhead.saturating_add(wait)
             }
             None => {
--- a/crates/cyclamen-dispatch/src/forecast.rs
+++ b/crates/cyclamen-dispatch/src/forecast.rs
@@ -29,6 +29,16 @@
         }
     }
 
+    /// Returns the speed of a group that takes `pace` times as long.
+    pub fn at_pace(&self, pace: f64) -> Self {
+        Self {
+            chunk_tokens: self.chunk_tokens,
+            prefill_seconds: self.prefill_seconds * pace,
+            decode_seconds: self.decode_seconds * pace,
+            decode_seconds_per_request: self.decode_seconds_per_request * pace,
+        }
+    }
+
     /// Returns the duration of one round with `running` requests on the engine.
     pub fn round(&self, running: u32) -> Duration {
         duration(self.round_seconds(running))
--- a/crates/cyclamen-dispatch/src/lib.rs
+++ b/crates/cyclamen-dispatch/src/lib.rs
@@ -9,7 +9,9 @@
 mod cell;
 mod dispatcher;
 mod forecast;
+mod observation;
 mod options;
+mod pace;
 mod pauses;
 mod request;
 mod retry_budget;
--- a/crates/cyclamen-dispatch/src/options.rs
+++ b/crates/cyclamen-dispatch/src/options.rs
@@ -11,6 +11,11 @@
     /// How much longer the forecast wait on a worker of this entry's cell may be than on one of
     /// another cell in the zone, as a fraction of the request's latency goal.
     pub other_cell_cost: f64,
+    /// Whether workers are chosen by observed loads and speeds; the costs above are not used then
+    /// for workers that run models.
+    pub observed_loads: bool,
+    /// What a request to a worker of another zone takes longer, if loads are observed.
+    pub zone_crossing: Duration,
     /// How long the load reported by another entry stays valid.
     pub peer_load_ttl: Duration,
     /// The time in which a worker of a plain service finishes as many requests as it has slots.
@@ -32,6 +37,8 @@
         Self {
             other_zone_cost: 0.6,
             other_cell_cost: 0.3,
+            observed_loads: false,
+            zone_crossing: Duration::from_millis(5),
             peer_load_ttl: Duration::from_secs(1),
             plain_service_time: Duration::from_millis(25),
             max_wait_ratio: 3.0,
--- a/crates/cyclamen-dispatch/src/request.rs
+++ b/crates/cyclamen-dispatch/src/request.rs
@@ -97,6 +97,10 @@
     pub tokens: u64,
     /// The forecast wait for the first part of its response.
     pub forecast: Duration,
+    /// The worker's pace in the forecast, as a multiple of that of a sound worker.
+    pub pace: f64,
+    /// The age of the observation of the worker, if there was one.
+    pub observed: Option<Duration>,
 }
 
 /// How a request on a worker ended.
--- a/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/attempt.rs
@@ -183,7 +183,8 @@
 
     fn log_first_event(&self) {
         let now = self.call.node.now();
-        let wait_ms = now.since(self.way.chosen_at()).as_millis();
+        let wait = now.since(self.way.chosen_at());
+        let wait_ms = wait.as_millis();
         let is_late = self.call.is_late();
         let Way::Worker(dispatch) = &self.way else {
             log::info!(
@@ -196,15 +197,26 @@
         let target = &dispatch.target;
         log::info!(
             "event=first_event id={} instance={} model={} wait_ms={wait_ms} forecast_ms={} \
-             running={} backlog={} tokens={} late={is_late}",
+             running={} backlog={} tokens={} late={is_late} pace={:.2} observed_ms={}",
             self.call.id,
             target.instance,
             target.model.as_ref().map_or("none", |m| m.as_str()),
             dispatch.forecast.as_millis(),
             dispatch.running,
             dispatch.backlog,
-            dispatch.tokens
+            dispatch.tokens,
+            dispatch.pace,
+            dispatch.observed.map_or(-1, |age| age.as_millis() as i64)
         );
+        if !self.is_success() {
+            return;
+        }
+        let mut state = self.call.node.state();
+        let slow = state.dispatcher.record_first_event(now, dispatch, wait);
+        drop(state);
+        if let Some(pace) = slow {
+            tasks::log_slow(target, pace, "first_event");
+        }
     }
 
     /// Records how the attempt ended; only the first call has an effect.
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -138,7 +138,10 @@
             catalog_since: Time::default(),
             zones_out: BTreeSet::new(),
             registry: Registry::default(),
-            dispatcher: Dispatcher::new(cyclamen_dispatch::Options::default()),
+            dispatcher: Dispatcher::new(cyclamen_dispatch::Options {
+                observed_loads: settings.features.observed_loads,
+                ..cyclamen_dispatch::Options::default()
+            }),
             limits: Limits::default(),
             issuer: Issuer::default(),
             part_issuer: Issuer::default(),
--- a/crates/cyclamen-gateway/src/platform.rs
+++ b/crates/cyclamen-gateway/src/platform.rs
@@ -12,6 +12,7 @@
 use cyclamen_cache::{Era, Revision};
 use cyclamen_quota::Naming;
 use cyclamen_replica::{Command, Outcome};
+use cyclamen_types::{group, instance};
 
 pub use dialect::Dialect;
 pub use poll::Poll;
@@ -40,6 +41,23 @@
     pub notices: Option<Notices>,
 }
 
+/// What a worker reports of its load.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WorkerReport {
+    /// Its incarnation, if it says.
+    pub incarnation: Option<instance::Incarnation>,
+    /// The fencing token of its group membership, if it says.
+    pub fence: Option<group::Fence>,
+    /// Number of requests that it runs.
+    pub running: u32,
+    /// Number of requests in its queue.
+    pub queued: u32,
+    /// The time that it takes, as a multiple of that of a sound worker; zero if it does not say.
+    pub pace: f64,
+    /// The time that the counts may be older than the response.
+    pub age: Duration,
+}
+
 /// The store and the workers of a platform, and its names of headers and paths.
 pub trait Platform: Send + Sync + 'static {
     /// Returns the names of headers and paths.
@@ -75,6 +93,14 @@
     /// Probes a worker; returns whether it responded within the timeout.
     fn probe(&self, address: SocketAddr, timeout: Duration) -> BoxFuture<Response<bool>>;
 
+    /// Asks a worker for its load; none if it did not respond within the timeout, or with none that
+    /// can be read.
+    fn report(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> BoxFuture<Response<Option<WorkerReport>>>;
+
     /// Probes a worker without sending it a request, which would take the slot of another one;
     /// returns whether it accepted a connection within the timeout.
     fn connects(&self, address: SocketAddr, timeout: Duration) -> BoxFuture<bool>;
--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -7,6 +7,7 @@
 mod lease;
 mod limits;
 mod notices;
+mod observe;
 mod ownership;
 mod paths;
 mod plan;
@@ -25,6 +26,7 @@
 pub(crate) use gossip::{SMALL_FLEET_PEERS, gossip_now, respond as respond_gossip};
 pub(crate) use lease::resign;
 pub(crate) use notices::record_notices;
+pub(crate) use observe::log_slow;
 pub(crate) use probe::probe_group;
 
 /// The interval at which the lease is checked for a due renewal.
@@ -34,6 +36,8 @@
 /// The interval at which expired state is removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The interval at which heads are checked for a due report.
+const OBSERVE_INTERVAL: Duration = Duration::from_millis(100);
 /// The interval at which the evidence in the store is compared with the contained parts.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -48,6 +52,7 @@
         every!(node, EXPIRY_INTERVAL, expire),
         every!(node, EVIDENCE_INTERVAL, evidence::step),
         every!(node, EXPIRY_INTERVAL, limits::confirm),
+        every!(node, OBSERVE_INTERVAL, observe::step),
         every!(
             node,
             millis(timing.news_every_ms),
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -12,6 +12,7 @@
 use crate::node::{FOLLOWED_TABLES, Knowledge, Node, Source};
 use crate::platform::{Row, Subject, Table};
 use crate::settings::millis;
+use crate::tasks::observe;
 use crate::tasks::ownership;
 use crate::tasks::probe::{INITIAL_PROBES, probe_worker};
 
@@ -113,7 +114,11 @@
             return;
         };
         let seen_at = peer.incarnation_seen_at;
-        let message = message::build(&state, node.now(), &peer.knowledge, seen_at);
+        let now = node.now();
+        let message = Gossip {
+            observations: message::observations(&state, now, peer.knowledge.heard_at),
+            ..message::build(&state, now, &peer.knowledge, seen_at)
+        };
         (peer.address, message)
     };
     let response = match node.peers() {
@@ -145,10 +150,19 @@
     let now = node.now();
     let sender = received.sender.entry.clone();
     let knowledge = Knowledge::of(now, &received);
+    // Before the message is applied: the sender knows what it says.
+    let observations = {
+        let state = node.state();
+        let peer = state.peers.get(&sender);
+        message::observations(&state, now, peer.and_then(|p| p.knowledge.heard_at))
+    };
     receive(node, now, received);
     let state = node.state();
     let seen_at = state.peers.get(&sender).and_then(|p| p.incarnation_seen_at);
-    message::build(&state, now, &knowledge, seen_at)
+    Gossip {
+        observations,
+        ..message::build(&state, now, &knowledge, seen_at)
+    }
 }
 
 /// Applies gossip from another entry.
@@ -177,6 +191,7 @@
     state
         .dispatcher
         .record_peer_loads(now, sender.as_str(), received.loads);
+    observe::record(&mut state, now, received.observations);
     state.record_answers(now, received.answers);
     state.record_strikes(now, received.strikes);
     let rows = received.delta.rows.into_iter();
--- a/crates/cyclamen-gateway/src/tasks/gossip/message.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip/message.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cyclamen_cache::Delta;
+use cyclamen_dispatch::Observation;
 use cyclamen_peer::Gossip;
 use cyclamen_types::Time;
 
@@ -20,6 +21,17 @@
 /// The maximum number of strikes in a gossip message.
 const MAX_STRIKES: usize = 64;
 
+/// The maximum number of observations in a gossip message.
+const MAX_OBSERVATIONS: usize = 24;
+
+/// Returns the newest observations that were learnt since the last gossip of the receiver, which told
+/// it the earlier ones.
+pub(super) fn observations(state: &State, now: Time, heard_at: Option<Time>) -> Vec<Observation> {
+    state
+        .dispatcher
+        .observations(now, heard_at, MAX_OBSERVATIONS)
+}
+
 /// Returns the gossip message for another entry, with the rows that it lacks according to its
 /// last gossip.
 ///
