--- a/crates/cyclamen-dispatch/tests/observation.rs
+++ b/crates/cyclamen-dispatch/tests/observation.rs
@@ -203,7 +203,7 @@
                 let mut entry = Entry::new([head("h1", "a", "d0")]);
                 entry.observe(at(1_000), observed("h1", $running, $queued));
                 entry.dispatcher.record_peer_loads(at($now), "e2", [load("h1", $told, 0)]);
-                for _ in 0..$own {
+                for _ in std::iter::repeat_n((), $own) {
                     entry.send(at($now), 10).unwrap();
                 }
                 assert_eq!(entry.send(at($now), 10).unwrap().running, $count);
--- a/dev/bench/src/main.rs
+++ b/dev/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Load generator, measurements and simulations.
 
+mod choice;
 mod idle;
 mod load;
 mod policy;
@@ -33,6 +34,8 @@
     Idle(idle::Options),
     /// Measures the cost of one entry's decisions as the site grows.
     Scale(scale::Options),
+    /// Measures the cost of choosing the worker of one request.
+    Choice(choice::Options),
 }
 
 fn main() -> eyre::Result<()> {
@@ -43,5 +46,6 @@
         Command::Load(options) => load::run(&options),
         Command::Idle(options) => idle::run(&options),
         Command::Scale(options) => scale::run(&options),
+        Command::Choice(options) => choice::run(&options),
     }
 }
