dispatch, gateway: admission by what can still be in time

Cause: everyone is admitted at up to three times the goal, so a backlog of late work outlives its burst. Change: with features.overload_control the queue of a worker is bounded by what the goal leaves; late requests use free slots only, less urgent kinds and teams over their share leave a reserve, and returns are spread. Off, nothing changes.

--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod cost;
+mod overload;
 mod peers;
 mod rejections;
 mod worker;
@@ -14,6 +15,7 @@
 use rand::Rng;
 
 use crate::options::Options;
+use crate::overload::Control;
 use crate::pauses::Pauses;
 use crate::request::{Criteria, Dispatch, Load, Outcome, Refusal, Target};
 use peers::PeerLoads;
@@ -34,6 +36,8 @@
     peers: PeerLoads,
     pauses: Pauses,
     permits: Permits,
+    /// Admission under overload, if it is on.
+    overload: Option<Control>,
 }
 
 impl Dispatcher {
@@ -46,6 +50,7 @@
             peers: PeerLoads::default(),
             pauses: Pauses::default(),
             permits: Permits::default(),
+            overload: options.overload.map(Control::new),
         }
     }
 
@@ -81,6 +86,8 @@
     ) -> Result<Dispatch, Refusal> {
         let peers = self.peers.sums(now, self.options.peer_load_ttl);
         let mut rejections = Rejections::default();
+        let overload = self.overload.as_mut();
+        let standing = overload.map(|control| control.standing(now, criteria));
         let mut best: Option<(f64, WorkerKey, InProgress)> = None;
         for (key, worker) in &self.workers {
             if !worker.matches(criteria) {
@@ -95,10 +102,13 @@
             let in_progress =
                 theirs.map_or(worker.in_progress, |theirs| worker.in_progress.plus(theirs));
             let wait = worker.forecast_wait(in_progress, criteria.tokens, &self.options);
-            if !self
-                .options
-                .accepts(criteria, &worker.target, in_progress, wait)
-            {
+            let accepts = match &standing {
+                Some(standing) => standing.admits(&self.view(worker, in_progress)),
+                None => self
+                    .options
+                    .accepts(criteria, &worker.target, in_progress, wait),
+            };
+            if !accepts {
                 rejections.record_overloaded(wait);
                 continue;
             }
@@ -115,7 +125,7 @@
         let chosen =
             best.and_then(|(_, key, in_progress)| Some((self.workers.get_mut(&key)?, in_progress)));
         let Some((worker, in_progress)) = chosen else {
-            return Err(rejections.refusal(criteria, &self.options, rng));
+            return Err(self.refuse(now, criteria, standing, rejections, rng));
         };
         let forecast = worker.forecast_wait(in_progress, criteria.tokens, &self.options);
         let this = InProgress {
@@ -123,6 +133,9 @@
             backlog: criteria.tokens,
         };
         worker.in_progress = worker.in_progress.plus(this);
+        if let Some(control) = &mut self.overload {
+            control.record(now, criteria, true);
+        }
         Ok(Dispatch {
             target: worker.target.clone(),
             chosen_at: now,
@@ -187,6 +200,9 @@
         if !started {
             self.record_started(dispatch);
         }
+        if let Some(control) = &mut self.overload {
+            control.record_outcome(now, dispatch, outcome);
+        }
         if let Some(worker) = self.worker_of(dispatch) {
             worker.in_progress.running = worker.in_progress.running.saturating_sub(1);
             match outcome {
--- a/crates/cyclamen-dispatch/src/dispatcher/rejections.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher/rejections.rs
@@ -19,6 +19,8 @@
     hold: Option<Duration>,
     /// Whether any of these workers names a limit.
     is_limited: bool,
+    /// Why the overloaded workers do not get it, if they decide by what can be in time.
+    overload: Option<Reason>,
     /// The shortest remaining pause.
     pause: Option<Duration>,
 }
@@ -28,6 +30,11 @@
         self.least_wait = Some(self.least_wait.map_or(wait, |least| least.min(wait)));
     }
 
+    /// Records why overloaded workers do not get the request.
+    pub(super) fn record_reason(&mut self, reason: Reason) {
+        self.overload = Some(reason);
+    }
+
     pub(super) fn record_pause(&mut self, remaining: Duration) {
         self.pause = Some(self.pause.map_or(remaining, |least| least.min(remaining)));
     }
@@ -46,7 +53,10 @@
         rng: &mut impl Rng,
     ) -> Refusal {
         let (reason, wait) = match (self.least_wait, self.hold, self.pause) {
-            (Some(wait), ..) => (Reason::Overloaded, wait.saturating_sub(criteria.goal / 2)),
+            (Some(wait), ..) => {
+                let reason = self.overload.unwrap_or(Reason::Overloaded);
+                (reason, wait.saturating_sub(criteria.goal / 2))
+            }
             (None, Some(hold), _) => {
                 let spread = rng.random::<f64>() * RETURN_SPREAD_SECONDS;
                 let reason = if self.is_limited {
--- a/crates/cyclamen-dispatch/src/lib.rs
+++ b/crates/cyclamen-dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod dispatcher;
 mod forecast;
 mod options;
+pub mod overload;
 mod pauses;
 mod request;
 mod retry_budget;
@@ -19,6 +20,6 @@
 pub use forecast::Forecast;
 pub use options::Options;
 pub use request::{
-    Criteria, Dispatch, Load, Observation, Outcome, Reason, Refusal, Target, TeamWork,
+    Caller, Criteria, Dispatch, Load, Observation, Outcome, Reason, Refusal, Target, TeamWork,
 };
 pub use retry_budget::RetryBudget;
--- a/crates/cyclamen-dispatch/src/options.rs
+++ b/crates/cyclamen-dispatch/src/options.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::overload;
+
 /// Options of the dispatcher.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -25,6 +27,8 @@
     pub min_retry_after: Duration,
     /// How long after a failed or shed request a worker has a higher cost.
     pub failure_cooldown: Duration,
+    /// Admission by what can still be in time; off unless it is given.
+    pub overload: Option<overload::Options>,
 }
 
 impl Default for Options {
@@ -38,6 +42,7 @@
             overhead: Duration::from_millis(130),
             min_retry_after: Duration::from_millis(200),
             failure_cooldown: Duration::from_millis(1_000),
+            overload: None,
         }
     }
 }
--- a/crates/cyclamen-dispatch/src/request.rs
+++ b/crates/cyclamen-dispatch/src/request.rs
@@ -80,6 +80,17 @@
     pub tokens: u64,
     /// The priority; zero is the most urgent.
     pub priority: u8,
+    /// What is known of the caller; it counts under overload only.
+    pub caller: Caller<'a>,
+}
+
+/// What is known of the caller of a request.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Caller<'a> {
+    /// Its team, if it is known.
+    pub team: Option<&'a team::Name>,
+    /// The time since the request arrived.
+    pub waited: Duration,
 }
 
 /// A request that was assigned to a worker.
@@ -132,6 +143,10 @@
     NoWorker,
     /// No worker can accept it, and at least one is overloaded.
     Overloaded,
+    /// The same, and its goal can no longer be met.
+    Late,
+    /// No worker has room to spare, and its team has more than its fair share.
+    OverShare,
     /// All workers are cold and no permit to send to one is to be had now.
     Cold,
     /// The same, and at least one of the workers is in need.
@@ -146,6 +161,8 @@
         match self {
             Self::NoWorker => "no_worker",
             Self::Overloaded => "overloaded",
+            Self::Late => "late",
+            Self::OverShare => "over_share",
             Self::Cold => "cold",
             Self::Limited => "limited",
             Self::Paused => "paused",
--- a/crates/cyclamen-dispatch/tests/dispatch.rs
+++ b/crates/cyclamen-dispatch/tests/dispatch.rs
@@ -7,8 +7,8 @@
 
 use cyclamen_directory::service::{Engine, Model};
 use cyclamen_dispatch::{
-    Cell, Criteria, Dispatch, Dispatcher, Forecast, Load, Options, Outcome, Reason, RetryBudget,
-    Target, cell,
+    Caller, Cell, Criteria, Dispatch, Dispatcher, Forecast, Load, Options, Outcome, Reason,
+    RetryBudget, Target, cell,
 };
 use cyclamen_quota::Rate;
 use cyclamen_types::{Time, domain, entry, group, instance, model, pool, zone};
@@ -103,6 +103,7 @@
             late: self.late,
             tokens: self.tokens,
             priority: 1,
+            caller: Caller::default(),
         }
     }
 }
--- a/crates/cyclamen-gateway/src/frontend/call.rs
+++ b/crates/cyclamen-gateway/src/frontend/call.rs
@@ -6,7 +6,7 @@
 use cyclamen_directory::route::Repeat;
 use cyclamen_directory::service::Service;
 use cyclamen_directory::{Route, Team};
-use cyclamen_dispatch::{Criteria, Dispatch};
+use cyclamen_dispatch::{Caller, Criteria, Dispatch};
 use cyclamen_peer::Capability;
 use cyclamen_route::containment::{Fingerprint, Part};
 use cyclamen_types::{Time, entry, instance, model, pool};
@@ -128,6 +128,10 @@
             late: is_late,
             tokens: self.tokens,
             priority,
+            caller: Caller {
+                team: self.team.as_ref().map(|team| &team.name),
+                waited: self.waited(now),
+            },
         };
         let chosen = state.dispatcher.choose(now, &criteria, &mut state.rng);
         chosen.map_err(|refusal| {
--- a/crates/cyclamen-gateway/src/frontend/way.rs
+++ b/crates/cyclamen-gateway/src/frontend/way.rs
@@ -106,7 +106,13 @@
     /// Records that the response to a request has begun.
     pub(crate) fn record_started(&self, call: &Call) {
         if let Self::Worker(dispatch) = self {
-            call.node.state().dispatcher.record_started(dispatch);
+            let now = call.node.now();
+            let mut state = call.node.state();
+            state.dispatcher.record_started(dispatch);
+            // A worker puts requests that were late when they were sent behind all others.
+            if call.waited(dispatch.chosen_at) < call.route.goal {
+                state.dispatcher.record_first_part(now, dispatch);
+            }
         }
     }
 
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -138,7 +138,7 @@
             catalog_since: Time::default(),
             zones_out: BTreeSet::new(),
             registry: Registry::default(),
-            dispatcher: Dispatcher::new(cyclamen_dispatch::Options::default()),
+            dispatcher: Dispatcher::new(dispatch_options(settings)),
             limits: Limits::default(),
             issuer: Issuer::default(),
             part_issuer: Issuer::default(),
@@ -234,3 +234,11 @@
         self.peers.len() + 1
     }
 }
+
+fn dispatch_options(settings: &Settings) -> cyclamen_dispatch::Options {
+    let overload = settings.features.overload_control;
+    cyclamen_dispatch::Options {
+        overload: overload.then(cyclamen_dispatch::overload::Options::default),
+        ..Default::default()
+    }
+}
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -177,6 +177,9 @@
     state
         .dispatcher
         .record_peer_loads(now, sender.as_str(), received.loads);
+    state
+        .dispatcher
+        .record_team_work(now, sender.as_str(), received.team_work);
     state.record_answers(now, received.answers);
     state.record_strikes(now, received.strikes);
     let rows = received.delta.rows.into_iter();
--- a/crates/cyclamen-gateway/src/tasks/gossip/message.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip/message.rs
@@ -105,6 +105,6 @@
         store_age: now.since(state.store_answered_at),
         demands: Vec::new(),
         observations: Vec::new(),
-        team_work: Vec::new(),
+        team_work: state.dispatcher.team_work(now),
     }
 }
