--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -86,8 +86,7 @@
     ) -> Result<Dispatch, Refusal> {
         let peers = self.peers.sums(now, self.options.peer_load_ttl);
         let mut rejections = Rejections::default();
-        let overload = self.overload.as_mut();
-        let standing = overload.map(|control| control.standing(now, criteria));
+        let standing = self.standing(now, criteria, &peers, rng);
         let mut best: Option<(f64, WorkerKey, InProgress)> = None;
         for (key, worker) in &self.workers {
             if !worker.matches(criteria) {
@@ -102,8 +101,9 @@
             let in_progress =
                 theirs.map_or(worker.in_progress, |theirs| worker.in_progress.plus(theirs));
             let wait = worker.forecast_wait(in_progress, criteria.tokens, &self.options);
+            let view = self.view(worker, in_progress);
             let accepts = match &standing {
-                Some(standing) => standing.admits(&self.view(worker, in_progress)),
+                Some(standing) => standing.admits(&view),
                 None => self
                     .options
                     .accepts(criteria, &worker.target, in_progress, wait),
@@ -116,7 +116,9 @@
                 rejections.record_hold(hold, worker.target.limit.is_some());
                 continue;
             }
+            let tie_break = standing.as_ref().map_or(0.0, |s| s.cost(&view, rng));
             let cost = self.options.cost(now, criteria, worker, wait)
+                + tie_break
                 + rng.random::<f64>() * TIE_BREAK_COST;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, key.clone(), in_progress));
--- a/crates/cyclamen-dispatch/src/dispatcher/overload.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher/overload.rs
@@ -1,17 +1,41 @@
 //! Admission by what can still be in time, if it is on.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use cyclamen_types::{Time, model, pool};
 use rand::Rng;
 
-use crate::dispatcher::Dispatcher;
 use crate::dispatcher::rejections::Rejections;
 use crate::dispatcher::worker::{InProgress, Worker};
-use crate::overload::{Standing, View};
+use crate::dispatcher::{Dispatcher, WorkerKey};
+use crate::overload::{PoolLoad, Standing, View};
 use crate::request::{Criteria, Dispatch, Refusal, TeamWork};
 
 impl Dispatcher {
+    /// Returns what part of the room a request may use, if this depends on what can be in time.
+    pub(super) fn standing(
+        &mut self,
+        now: Time,
+        criteria: &Criteria<'_>,
+        peers: &BTreeMap<WorkerKey, InProgress>,
+        rng: &mut impl Rng,
+    ) -> Option<Standing> {
+        let control = self.overload.as_mut()?;
+        let mut load = PoolLoad {
+            entries: self.peers.count() + 1,
+            ..PoolLoad::default()
+        };
+        for (key, worker) in self.workers.iter().filter(|(_, w)| w.matches(criteria)) {
+            let own = worker.in_progress.running;
+            let theirs = peers.get(key).map_or(0, |load| load.running);
+            load.slots += f64::from(worker.target.slots);
+            load.own += f64::from(own);
+            load.all += f64::from(own.saturating_add(theirs));
+        }
+        Some(control.standing(now, criteria, load, rng.random()))
+    }
+
     /// Returns the refusal, and records it if it is for want of room.
     pub(super) fn refuse(
         &mut self,
--- a/crates/cyclamen-dispatch/src/overload.rs
+++ b/crates/cyclamen-dispatch/src/overload.rs
@@ -17,6 +17,7 @@
 use rand::Rng;
 
 use crate::request::{Criteria, Dispatch, Outcome, TeamWork};
+pub(crate) use pool::Load as PoolLoad;
 use pool::Pool;
 pub use shares::fair_level;
 pub(crate) use standing::{Standing, View};
@@ -80,10 +81,18 @@
         self.pools.get_mut(&key)
     }
 
-    /// Records a request and returns what part of the room it may use.
-    pub(crate) fn standing(&mut self, now: Time, criteria: &Criteria<'_>) -> Standing {
+    /// Records a request and returns what part of the room it may use; `draw` is a random number from
+    /// zero to one.
+    pub(crate) fn standing(
+        &mut self,
+        now: Time,
+        criteria: &Criteria<'_>,
+        load: PoolLoad,
+        draw: f64,
+    ) -> Standing {
         let options = self.options;
-        self.pool(criteria).standing(now, &options, criteria)
+        self.pool(criteria)
+            .standing(now, &options, criteria, load, draw)
     }
 
     /// Records whether a request was admitted.
--- a/crates/cyclamen-dispatch/src/overload/kinds.rs
+++ b/crates/cyclamen-dispatch/src/overload/kinds.rs
@@ -39,15 +39,15 @@
 pub(crate) struct Kinds(BTreeMap<Kind, Demand>);
 
 impl Kinds {
-    /// Records a request, and returns whether its caller seems to have been refused before: it gives
-    /// less time than others of the same kind.
+    /// Records a request, and returns how long ago its caller seems to have been refused before, if it
+    /// has: by so much less time than others of the same kind it gives.
     pub(crate) fn record_asked(
         &mut self,
         now: Time,
         window: Duration,
         kind: Kind,
         allowed: Duration,
-    ) -> bool {
+    ) -> Option<Duration> {
         if self.0.len() >= MAX_KINDS {
             self.0
                 .retain(|_, demand| demand.asked.value(now, window) >= MIN_SHARE);
@@ -57,9 +57,9 @@
             demand.longest = Duration::ZERO;
         }
         demand.asked.add(now, window, 1.0);
-        let returns = allowed.saturating_add(RETURN_MARGIN) < demand.longest;
+        let since = demand.longest.saturating_sub(allowed);
         demand.longest = demand.longest.max(allowed);
-        returns
+        (since > RETURN_MARGIN).then_some(since)
     }
 
     pub(crate) fn record_admitted(&mut self, now: Time, window: Duration, kind: Kind) {
--- a/crates/cyclamen-dispatch/src/overload/pool.rs
+++ b/crates/cyclamen-dispatch/src/overload/pool.rs
@@ -24,12 +24,31 @@
 /// How many requests' worth of work a team may exceed its share by.
 const TEAM_SLACK_REQUESTS: f64 = 2.0;
 
+/// The part of all slots under which an entry is not kept to its own part of them.
+const AMPLE_OCCUPANCY: f64 = 0.97;
+/// The part of an equal share of the slots that an entry may always use.
+const MIN_ENTRY_SHARE: f64 = 0.5;
+
+/// The requests in progress on the workers of one service and model.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Load {
+    /// The entries whose requests are known, this one included.
+    pub(crate) entries: usize,
+    pub(crate) slots: f64,
+    /// Requests of this entry.
+    pub(crate) own: f64,
+    /// Requests of all entries, as far as they are known.
+    pub(crate) all: f64,
+}
+
 /// The recent past of one service and model.
 #[derive(Debug, Default)]
 pub(super) struct Pool {
     kinds: Kinds,
     teams: Shares,
     refused: Sum,
+    /// The part of the requests in progress that is this entry's.
+    part: Mean,
     /// The seconds that a request occupies a slot.
     occupancy: Mean,
     /// The ratio of actual to forecast waits.
@@ -43,6 +62,8 @@
         now: Time,
         options: &Options,
         criteria: &Criteria<'_>,
+        load: Load,
+        draw: f64,
     ) -> Standing {
         let window = options.window;
         let kind = kind(criteria);
@@ -50,21 +71,25 @@
         let returns = self.kinds.record_asked(now, window, kind, allowed);
         let is_below = self.kinds.is_below(now, window, kind, options.floor);
         let is_over = self.is_over(now, options, criteria);
+        let more_urgent = self.kinds.more_urgent_share(now, window, kind);
         let claim = if criteria.late {
             Claim::Late
         } else if is_over {
             Claim::OverShare
-        } else if returns {
-            Claim::Returning
+        } else if returns.is_some_and(|since| since >= kind.goal) {
+            Claim::ReturningLate
+        } else if returns.is_some() {
+            Claim::Returning(more_urgent)
         } else if is_below {
             Claim::Full
         } else {
-            Claim::Behind(self.kinds.more_urgent_share(now, window, kind))
+            Claim::Behind(more_urgent)
         };
         let goal = match claim {
             Claim::Full => kind.goal,
             _ => self.kinds.shortest_goal(now, window, kind),
         };
+        let entry_slots = self.entry_slots(now, window, load);
         let window = window * MEASURE_WINDOWS;
         let error = self.error.value(now, window, MIN_MEASURED);
         Standing {
@@ -73,11 +98,28 @@
             remaining: criteria.remaining,
             margin: options.margin,
             reserve: options.reserve,
+            own_slots: entry_slots + draw,
+            own: load.own,
+            pool_occupancy: load.all / load.slots.max(1.0),
             error: error.map_or(1.0, |e| e.clamp(ERROR_BOUNDS.0, ERROR_BOUNDS.1)),
             occupancy: self.occupancy.value(now, window, MIN_MEASURED),
         }
     }
 
+    /// Returns the part of the slots that this entry may use once there is little room: what other
+    /// entries report is old, but what each one has in progress itself it knows exactly.
+    fn entry_slots(&mut self, now: Time, window: Duration, load: Load) -> f64 {
+        if load.all > 0.0 {
+            self.part.add(now, window, load.own / load.all);
+        }
+        let least = MIN_ENTRY_SHARE / load.entries.max(1) as f64;
+        let part = self.part.value(now, window, MIN_MEASURED);
+        if load.all < load.slots * AMPLE_OCCUPANCY {
+            return load.slots;
+        }
+        load.slots * part.unwrap_or(1.0).max(least) + 1.0
+    }
+
     fn is_over(&mut self, now: Time, options: &Options, criteria: &Criteria<'_>) -> bool {
         let Some(team) = criteria.caller.team else {
             return false;
@@ -127,8 +169,14 @@
         let behind = self.kinds.more_urgent_share(now, window, kind(criteria));
         let spread = drain * if behind > 0.0 { 1.0 } else { 0.5 };
         let longest = criteria.remaining / RETURN_DIVISOR;
-        let least = least.min(longest / 2);
         let spread = Duration::try_from_secs_f64(spread).unwrap_or(Duration::MAX);
+        // Room for all comes later than they wait: the later half of the time is the better one.
+        let is_long = spread >= longest;
+        let least = if is_long {
+            longest / 2
+        } else {
+            least.min(longest / 2)
+        };
         least + spread.min(longest.saturating_sub(least)).mul_f64(draw)
     }
 
--- a/crates/cyclamen-dispatch/src/overload/shares.rs
+++ b/crates/cyclamen-dispatch/src/overload/shares.rs
@@ -11,8 +11,8 @@
 const SUMS_TTL: Duration = Duration::from_millis(100);
 /// How long the work reported by another entry stays valid.
 const REPORT_TTL: Duration = Duration::from_secs(3);
-/// The most work a second that is believed of a team at one entry.
-const MAX_REPORTED: f64 = 1e9;
+/// The most work a second that is believed of a team at one entry; more counts as none.
+const MAX_REPORTED: f64 = 1e8;
 /// A team with less work than this is forgotten.
 const MIN_WORK: f64 = 0.01;
 /// The most teams that an entry keeps or believes of another one.
@@ -96,8 +96,7 @@
         self.reports
             .retain(|_, (at, _)| now.since(*at) < REPORT_TTL);
         let work = work.into_iter().take(MAX_TEAMS);
-        let sane = work.filter(|(_, rate)| rate.is_finite() && *rate > 0.0);
-        let sane = sane.map(|(team, rate)| (team, rate.min(MAX_REPORTED)));
+        let sane = work.filter(|(_, rate)| *rate > 0.0 && *rate <= MAX_REPORTED);
         self.reports.insert(peer.to_string(), (now, sane.collect()));
     }
 
--- a/crates/cyclamen-dispatch/src/overload/standing.rs
+++ b/crates/cyclamen-dispatch/src/overload/standing.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rand::Rng;
+
 use crate::request::Reason;
 
 /// A worker queues up to its number of slots divided by this.
@@ -9,13 +11,18 @@
 /// The part of the slots under which requests that can be in time are not refused.
 const FREE_OCCUPANCY: f64 = 0.5;
 /// The part of the slots that late requests may use.
-const LATE_OCCUPANCY: f64 = 0.9;
+const LATE_OCCUPANCY: f64 = 0.85;
+/// Random cost by which entries that see the same loads choose different workers, in multiples of the
+/// latency goal.
+const SPREAD_COST: f64 = 0.15;
+/// The same for those that were refused before.
+const RETURNING_LATE_OCCUPANCY: f64 = 0.9;
 /// The part of the accepted wait that late requests may use.
 const LATE_WAIT: f64 = 0.5;
 /// How much of the reserve a team over its share leaves to the others.
-const OVER_SHARE: f64 = 0.5;
+const OVER_SHARE: f64 = 1.0;
 /// The part of the reserve that is left to more urgent requests if all others are.
-const BEHIND: f64 = 0.5;
+const BEHIND: f64 = 0.75;
 /// How much longer a wait is accepted for a request that was refused before.
 const RETURNING: f64 = 1.25;
 
@@ -26,8 +33,10 @@
     Late,
     /// Its team has more than its fair share.
     OverShare,
-    /// It was refused before.
-    Returning,
+    /// It was refused before, and its goal has passed since.
+    ReturningLate,
+    /// It was refused before; this share of the demand is more urgent.
+    Returning(f64),
     /// It belongs to a kind that is served less than others.
     Full,
     /// This share of the demand is more urgent.
@@ -54,6 +63,12 @@
     pub(super) remaining: Duration,
     pub(super) margin: f64,
     pub(super) reserve: f64,
+    /// How many requests this entry may have in progress now that there is little room.
+    pub(super) own_slots: f64,
+    /// How many it has.
+    pub(super) own: f64,
+    /// The part of the slots of all workers that is taken, as far as it is known.
+    pub(super) pool_occupancy: f64,
     /// The ratio of actual to forecast waits.
     pub(super) error: f64,
     /// The seconds that a request occupies a slot, if they are known.
@@ -71,14 +86,24 @@
         let added = worker.wait.saturating_sub(worker.idle_wait);
         let added = added.as_secs_f64() * self.error;
         let limit = self.accepted_wait(worker);
-        if self.claim == Claim::Late {
-            return running < slots * LATE_OCCUPANCY && added <= limit * LATE_WAIT;
+        if let Some(occupancy) = self.late_occupancy() {
+            let has_free_slots = running < slots * occupancy && self.pool_occupancy < occupancy;
+            return has_free_slots && added <= limit * LATE_WAIT;
         }
         let part = self.part();
         let is_free = running < slots * FREE_OCCUPANCY;
-        let kept = (1.0 - part).max(0.0) * self.reserve * slots;
-        let places = slots + self.queue(slots, limit) - kept;
-        running < places && (is_free || added <= limit * part)
+        let kept = (1.0 - part).max(0.0) * self.reserve;
+        let places = slots * (1.0 - kept) + self.queue(slots, limit);
+        let has_own = self.own + 1.0 <= self.own_slots * (1.0 - kept);
+        has_own && running < places && (is_free || added <= limit * part)
+    }
+
+    /// Returns the cost of waiting for a slot, and a random cost.
+    pub(crate) fn cost(&self, worker: &View, rng: &mut impl Rng) -> f64 {
+        let slots = f64::from(worker.slots.max(1));
+        let ahead = (f64::from(worker.running) + 1.0 - slots).max(0.0);
+        let wait = self.occupancy.unwrap_or_default() / slots * ahead;
+        wait / self.goal.as_secs_f64().max(0.001) + rng.random::<f64>() * SPREAD_COST
     }
 
     /// Returns the accepted wait behind other requests, in seconds.
@@ -96,12 +121,21 @@
         turn.map_or(most, |turn| (limit / turn.max(1e-6)).clamp(1.0, most))
     }
 
+    /// Returns the part of the slots that a late request may use.
+    fn late_occupancy(&self) -> Option<f64> {
+        match self.claim {
+            Claim::Late => Some(LATE_OCCUPANCY),
+            Claim::ReturningLate => Some(RETURNING_LATE_OCCUPANCY),
+            _ => None,
+        }
+    }
+
     /// Returns the part of the room that the request may use.
     fn part(&self) -> f64 {
         match self.claim {
-            Claim::Late => 0.0,
+            Claim::Late | Claim::ReturningLate => 0.0,
             Claim::OverShare => 1.0 - OVER_SHARE,
-            Claim::Returning => RETURNING,
+            Claim::Returning(share) => RETURNING - BEHIND * share.clamp(0.0, 1.0),
             Claim::Full => 1.0,
             Claim::Behind(share) => 1.0 - BEHIND * share.clamp(0.0, 1.0),
         }
@@ -110,9 +144,9 @@
     /// Returns the reason if the request is refused for want of room.
     pub(crate) fn reason(&self) -> Reason {
         match self.claim {
-            Claim::Late => Reason::Late,
+            Claim::Late | Claim::ReturningLate => Reason::Late,
             Claim::OverShare => Reason::OverShare,
-            Claim::Returning | Claim::Full | Claim::Behind(_) => Reason::Overloaded,
+            Claim::Returning(_) | Claim::Full | Claim::Behind(_) => Reason::Overloaded,
         }
     }
 }
