--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -4,8 +4,10 @@
 mod choice;
 mod cost;
 mod observing;
+mod overload;
 mod peers;
 mod rejections;
+mod sizes;
 mod worker;
 mod workers;
 
@@ -18,8 +20,10 @@
 
 use crate::observation::Knowledge;
 use crate::options::Options;
+use crate::overload::{Control, Standing};
 use crate::pauses::Pauses;
 use crate::request::{Criteria, Dispatch, Load, Outcome, Refusal, Target};
+use crate::split::Split;
 use choice::Candidate;
 use peers::PeerLoads;
 use rejections::Rejections;
@@ -40,6 +44,10 @@
     peers: PeerLoads,
     pauses: Pauses,
     permits: Permits,
+    /// Admission under overload, if it is on.
+    overload: Option<Control>,
+    /// The separation of long and short prompts, if it is on.
+    split: Option<Split>,
 }
 
 impl Dispatcher {
@@ -52,6 +60,8 @@
             peers: PeerLoads::default(),
             pauses: Pauses::default(),
             permits: Permits::default(),
+            overload: options.overload.map(Control::new),
+            split: options.split.map(Split::new),
         }
     }
 
@@ -87,32 +97,33 @@
         rng: &mut impl Rng,
     ) -> Result<Dispatch, Refusal> {
         self.peers.expire(now, self.options.peer_load_ttl);
-        let known = self.known_work(criteria);
-        let mut rejections = Rejections::default();
-        let mut candidates: Vec<Candidate<'_>> = Vec::new();
-        for (key, worker) in self.workers.of(criteria.service, criteria.model) {
-            if worker.is_excluded(criteria) {
-                continue;
-            }
-            rejections.workers += 1;
-            if let Some(remaining) = self.pauses.remaining(now, &worker.target) {
-                rejections.record_pause(remaining);
-                continue;
-            }
-            let candidate = self.candidate(now, criteria, key, worker, known);
-            let (in_progress, wait) = (candidate.in_progress, candidate.wait);
-            if !self
-                .options
-                .accepts(criteria, &worker.target, in_progress, wait)
-            {
-                rejections.record_overloaded(wait);
-                continue;
-            }
-            if let Some(hold) = self.hold(now, worker, criteria.priority) {
-                rejections.record_hold(hold, worker.target.limit.is_some());
-                continue;
-            }
-            candidates.push(candidate);
+        self.record_size(now, criteria);
+        let mut control = self.overload.take();
+        let chosen = self.choose_with(now, criteria, control.as_mut(), rng);
+        self.overload = control;
+        let dispatch = chosen?;
+        self.record_sent(now, &dispatch);
+        Ok(dispatch)
+    }
+
+    /// Chooses a worker; `control` decides who gets scarce room, if it is on.
+    fn choose_with(
+        &self,
+        now: Time,
+        criteria: &Criteria<'_>,
+        mut control: Option<&mut Control>,
+        rng: &mut impl Rng,
+    ) -> Result<Dispatch, Refusal> {
+        let mut candidates = self.candidates(now, criteria);
+        let mut rejections = Rejections::of(candidates.len());
+        let standing = control.as_mut().map(|control| {
+            let load = self.pool_load(&candidates);
+            control.standing(now, criteria, load, rng.random())
+        });
+        self.add_split_costs(criteria, &mut candidates);
+        candidates.retain(|c| self.may_get(now, criteria, c, standing.as_ref(), &mut rejections));
+        if let Some(standing) = &standing {
+            self.add_slot_costs(&mut candidates, standing, rng);
         }
         let options = &self.options;
         let chosen = if options.observed_loads && criteria.model.is_some() {
@@ -121,9 +132,12 @@
             choice::least_cost(now, criteria, options, candidates, rng)
         };
         let Some(chosen) = chosen else {
-            return Err(rejections.refusal(criteria, &self.options, rng));
+            return Err(self.refuse(now, criteria, control, standing, rejections, rng));
         };
-        let dispatch = Dispatch {
+        if let Some(control) = control {
+            control.record(now, criteria, true);
+        }
+        Ok(Dispatch {
             target: chosen.worker.target.clone(),
             chosen_at: now,
             running: chosen.in_progress.running,
@@ -132,9 +146,49 @@
             forecast: chosen.wait,
             pace: chosen.pace,
             observed: chosen.worker.knowledge.age(now),
+        })
+    }
+
+    /// Returns the workers that serve the request, with their loads.
+    fn candidates(&self, now: Time, criteria: &Criteria<'_>) -> Vec<Candidate<'_>> {
+        let known = self.known_work(criteria);
+        let workers = self.workers.of(criteria.service, criteria.model);
+        let workers = workers.filter(|(_, worker)| !worker.is_excluded(criteria));
+        workers
+            .map(|(key, worker)| self.candidate(now, criteria, key, worker, known))
+            .collect()
+    }
+
+    /// Returns whether a worker may get the request; if not, records why.
+    fn may_get(
+        &self,
+        now: Time,
+        criteria: &Criteria<'_>,
+        candidate: &Candidate<'_>,
+        standing: Option<&Standing>,
+        rejections: &mut Rejections,
+    ) -> bool {
+        let worker = candidate.worker;
+        if let Some(remaining) = self.pauses.remaining(now, &worker.target) {
+            rejections.record_pause(remaining);
+            return false;
+        }
+        let (in_progress, wait) = (candidate.in_progress, candidate.wait);
+        let accepts = match standing {
+            Some(standing) => standing.admits(&self.view(candidate)),
+            None => self
+                .options
+                .accepts(criteria, &worker.target, in_progress, wait),
         };
-        self.record_sent(now, &dispatch);
-        Ok(dispatch)
+        if !accepts {
+            rejections.record_overloaded(wait);
+            return false;
+        }
+        if let Some(hold) = self.hold(now, worker, criteria.priority) {
+            rejections.record_hold(hold, worker.target.limit.is_some());
+            return false;
+        }
+        true
     }
 
     /// Counts a request on its worker.
@@ -205,6 +259,9 @@
         if !started {
             self.record_started(dispatch);
         }
+        if let Some(control) = &mut self.overload {
+            control.record_outcome(now, dispatch, outcome);
+        }
         if let Some(worker) = self.worker_of(dispatch) {
             worker.in_progress.running = worker.in_progress.running.saturating_sub(1);
             match outcome {
--- a/crates/cyclamen-dispatch/src/dispatcher/choice.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher/choice.rs
@@ -33,6 +33,8 @@
     pub(super) pace: f64,
     /// The part of its load that is not known: between 0 and 1.
     pub(super) staleness: f64,
+    /// An additional cost, as a multiple of the latency goal.
+    pub(super) extra: f64,
 }
 
 /// Where a worker is, seen from this entry; the nearest place first.
@@ -100,7 +102,7 @@
     let mut best: Option<(f64, Candidate<'a>)> = None;
     for candidate in candidates {
         let cost = options.cost(now, criteria, candidate.worker, candidate.wait);
-        let cost = cost + random(rng) * TIE_BREAK_COST;
+        let cost = cost + candidate.extra + random(rng) * TIE_BREAK_COST;
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, candidate));
         }
@@ -136,7 +138,7 @@
         };
         let noise = TIE_BREAK_COST + noise * slack.slack * MAX_NOISE / goal;
         let seconds = candidate.wait.as_secs_f64() + distance;
-        seconds / goal + penalty(candidate) + noise * random(rng)
+        seconds / goal + candidate.extra + penalty(candidate) + noise * random(rng)
     };
     let costs = drawn.into_iter().map(|c| (cost(&c, rng), c));
     let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
--- a/crates/cyclamen-dispatch/src/dispatcher/observing.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher/observing.rs
@@ -73,6 +73,7 @@
             wait,
             pace,
             staleness,
+            extra: 0.0,
         }
     }
 
--- a/crates/cyclamen-dispatch/src/forecast.rs
+++ b/crates/cyclamen-dispatch/src/forecast.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Returns the number of prompt tokens that are prefilled in one round at most.
+    pub(crate) fn chunk(&self) -> u64 {
+        self.chunk_tokens as u64
+    }
+
     /// Returns the duration of one round with `running` requests on the engine.
     pub fn round(&self, running: u32) -> Duration {
         duration(self.round_seconds(running))
--- a/crates/cyclamen-dispatch/src/lib.rs
+++ b/crates/cyclamen-dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod forecast;
 mod observation;
 mod options;
+pub mod overload;
 mod pace;
 mod pauses;
 mod request;
@@ -22,6 +23,6 @@
 pub use forecast::Forecast;
 pub use options::Options;
 pub use request::{
-    Criteria, Dispatch, Load, Observation, Outcome, Reason, Refusal, Target, TeamWork,
+    Caller, Criteria, Dispatch, Load, Observation, Outcome, Reason, Refusal, Target, TeamWork,
 };
 pub use retry_budget::RetryBudget;
--- a/crates/cyclamen-dispatch/tests/observation.rs
+++ b/crates/cyclamen-dispatch/tests/observation.rs
@@ -107,6 +107,7 @@
             late: false,
             tokens,
             priority: 1,
+            caller: cyclamen_dispatch::Caller::default(),
         };
         self.dispatcher.choose(now, &criteria, &mut self.rng).ok()
     }
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -141,10 +141,7 @@
             catalog_since: Time::default(),
             zones_out: BTreeSet::new(),
             registry: Registry::default(),
-            dispatcher: Dispatcher::new(cyclamen_dispatch::Options {
-                observed_loads: settings.features.observed_loads,
-                ..cyclamen_dispatch::Options::default()
-            }),
+            dispatcher: Dispatcher::new(dispatch_options(settings)),
             limits: Limits::default(),
             issuer: Issuer::default(),
             part_issuer: Issuer::default(),
@@ -242,3 +239,15 @@
         self.peers.len() + 1
     }
 }
+
+fn dispatch_options(settings: &Settings) -> cyclamen_dispatch::Options {
+    let features = settings.features;
+    let overload = features.overload_control;
+    let split = features.split_prompts;
+    cyclamen_dispatch::Options {
+        observed_loads: features.observed_loads,
+        overload: overload.then(cyclamen_dispatch::overload::Options::default),
+        split: split.then(cyclamen_dispatch::split::Options::default),
+        ..Default::default()
+    }
+}
--- a/crates/cyclamen-gateway/src/settings.rs
+++ b/crates/cyclamen-gateway/src/settings.rs
@@ -176,6 +176,8 @@
     pub overload_control: bool,
     /// Workers are chosen by the loads and speeds that entries observe and tell each other.
     pub observed_loads: bool,
+    /// Long and short prompts prefer different workers of a model.
+    pub split_prompts: bool,
     /// An entry asks the store for changes only if no other entry has told it lately what has changed.
     pub shared_following: bool,
 }
--- a/crates/cyclamen-gateway/src/tasks/gossip/message.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip/message.rs
@@ -117,6 +117,6 @@
         store_age: now.since(state.store_answered_at),
         demands: state.demands_to_gossip(now),
         observations: Vec::new(),
-        team_work: Vec::new(),
+        team_work: state.dispatcher.team_work(now),
     }
 }
