gateway: entries share the following of tables if features.shared_following is set

Every entry held a poll on each followed table, so that calls to the store grew with the number of entries times the changes. A response to an own gossip call now proves until when the sender knew a table completely, and names all rows since the caller's position. An entry holds polls for random terms; otherwise it asks others when its knowledge reaches half of its threshold, and the store at the threshold, which leaves the time of a call and its retry.

event=store_calls counts calls by kind and table; store_calls has a label table; table_proofs counts proofs.

--- a/crates/cyclamen-cache/src/cache.rs
+++ b/crates/cyclamen-cache/src/cache.rs
@@ -119,6 +119,11 @@
         }
     }
 
+    /// Returns whether no deletion after `since` is forgotten.
+    pub fn retains_since(&self, since: Revision) -> bool {
+        self.forgotten_up_to <= since
+    }
+
     /// Returns all rows changed after `since`.
     pub fn rows_since(&self, since: Revision) -> impl Iterator<Item = &Row> {
         self.rows.values().filter(move |row| row.revision > since)
--- a/crates/cyclamen-gateway/src/metrics.rs
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     resumes: Counter<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
+    table_proofs: Counter<u64>,
     crashes: Counter<u64>,
     handovers: Counter<u64>,
     served_handovers: Counter<u64>,
@@ -61,6 +62,7 @@
             resumes: meter.u64_counter("resumed_streams").build(),
             orders: meter.u64_counter("orders").build(),
             store_calls: meter.u64_counter("store_calls").build(),
+            table_proofs: meter.u64_counter("table_proofs").build(),
             crashes: meter.u64_counter("worker_crashes").build(),
             handovers: meter.u64_counter("handovers").build(),
             served_handovers: meter.u64_counter("served_handovers").build(),
@@ -110,11 +112,21 @@
         self.orders.add(1, &labels);
     }
 
-    pub(crate) fn record_store_call(&self, call: &'static str, ok: bool) {
-        let labels = [KeyValue::new("call", call), KeyValue::new("ok", ok)];
+    pub(crate) fn record_store_call(&self, call: &'static str, table: Table, ok: bool) {
+        let labels = [
+            KeyValue::new("call", call),
+            KeyValue::new("table", table.as_str()),
+            KeyValue::new("ok", ok),
+        ];
         self.store_calls.add(1, &labels);
     }
 
+    /// Counts a response of another entry that proved that all of a table is known.
+    pub(crate) fn record_table_proof(&self, table: Table) {
+        let labels = [KeyValue::new("table", table.as_str())];
+        self.table_proofs.add(1, &labels);
+    }
+
     /// Counts a worker that crashed before any part of its response could be forwarded.
     pub(crate) fn record_crash(&self) {
         self.crashes.add(1, &[]);
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! The node: the state of this entry, and its clients for calls to others.
 
+mod calls;
 mod containment;
 mod era;
 mod history;
@@ -9,6 +10,7 @@
 mod path;
 mod peers;
 mod permits;
+mod proofs;
 mod reach;
 mod state;
 mod suspicions;
@@ -33,6 +35,7 @@
 pub(crate) use ownership::OwnerRow;
 pub(crate) use peers::{Knowledge, Peer};
 pub(crate) use permits::{PermitSource, is_service_scope, scope, service_scope};
+pub(crate) use proofs::Proof;
 pub(crate) use reach::Receiver;
 pub(crate) use state::State;
 pub(crate) use targets::{Loss, TargetCount};
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -20,6 +20,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::node::calls::Calls;
 use crate::node::era::Recovery;
 use crate::node::history::History;
 use crate::node::odd_rows::OddRows;
@@ -86,6 +87,13 @@
     pub(crate) positions: BTreeMap<Table, Revision>,
     /// When the store last answered a call for the changes of each followed table.
     pub(crate) answered_at: BTreeMap<Table, Time>,
+    /// Whether this entry shares the following of tables with others.
+    pub(crate) shares_following: bool,
+    /// The latest time at which what is known of each followed table was complete, as proved by the
+    /// store or by another entry; empty unless following is shared.
+    pub(crate) proved_at: BTreeMap<Table, Time>,
+    /// The calls to the store, and what replaced them.
+    pub(crate) store_calls: Calls,
     /// The revision up to which gossip has delivered the operators' rows.
     pub(crate) operators_gossip_as_of: Revision,
     /// The times at which each followed table reached its recent revisions.
@@ -153,6 +161,9 @@
             recovery: None,
             positions: BTreeMap::new(),
             answered_at: BTreeMap::new(),
+            shares_following: settings.features.shared_following,
+            proved_at: BTreeMap::new(),
+            store_calls: Calls::default(),
             operators_gossip_as_of: Revision::default(),
             histories: BTreeMap::new(),
             odd_rows: OddRows::default(),
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -103,11 +103,12 @@
             .record(now, position);
     }
 
-    /// Returns the time since the store last delivered a followed table, or since the start of this
-    /// process.
+    /// Returns the time since the store last delivered a followed table, or another entry proved that
+    /// all of it is known, or since the start of this process.
     pub(crate) fn table_age(&self, now: Time, table: Table) -> Duration {
         let answered_at = self.answered_at.get(&table);
-        now.since(answered_at.copied().unwrap_or_default())
+        let known_at = answered_at.max(self.proved_at.get(&table));
+        now.since(known_at.copied().unwrap_or_default())
     }
 
     /// Records that gossip has delivered the operators' rows up to a revision.
--- a/crates/cyclamen-gateway/src/platform.rs
+++ b/crates/cyclamen-gateway/src/platform.rs
@@ -2,6 +2,7 @@
 
 mod dialect;
 pub mod poll;
+pub mod share;
 mod store;
 
 use std::future::Future;
--- a/crates/cyclamen-gateway/src/platform/poll.rs
+++ b/crates/cyclamen-gateway/src/platform/poll.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use cyclamen_types::Time;
+
 /// The part of the time within which a change has to be known that is left for the retry of a call
 /// that was not answered.
 const RETRY_MARGIN: Duration = Duration::from_millis(300);
@@ -23,6 +25,21 @@
     pub timeout: Duration,
 }
 
+impl Poll {
+    /// Returns the time at which what the response to this poll tells was complete, as far as that is
+    /// certain.
+    ///
+    /// A poll without changes was held open to the end. One with changes was answered on the way;
+    /// the response then took no longer than is waited for after the hold.
+    pub fn complete_at(&self, called_at: Time, now: Time, has_changes: bool) -> Time {
+        if has_changes {
+            called_at.max(now - ANSWER_TIME)
+        } else {
+            (called_at + self.hold).min(now)
+        }
+    }
+}
+
 /// The options from which polls of a table are derived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Options {
--- a/crates/cyclamen-gateway/src/platform/store.rs
+++ b/crates/cyclamen-gateway/src/platform/store.rs
@@ -80,6 +80,13 @@
 }
 
 impl Transaction {
+    /// Returns the table that the first write is to, for metrics.
+    pub(crate) fn table(&self) -> Table {
+        let put = self.puts.first().map(|(table, ..)| *table);
+        let deleted = self.deletes.first().map(|(table, _)| *table);
+        put.or(deleted).unwrap_or(Table::Entries)
+    }
+
     /// Returns whether no condition has a revision of another era than this.
     pub fn conditions_are_of(&self, era: Era) -> bool {
         let mut conditions = self.conditions.iter();
--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -36,6 +36,8 @@
 
 /// The interval at which the evidence in the store is compared with the contained parts.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval at which the calls to the store are logged.
+const CALLS_REPORT_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Starts all tasks; dropping the returned handles cancels them.
 pub(crate) fn start(node: &Arc<Node>) -> Vec<smol::Task<()>> {
@@ -47,6 +49,7 @@
         every!(node, OWNERSHIP_CHECK_INTERVAL, ownership::give_up),
         every!(node, EXPIRY_INTERVAL, expire),
         every!(node, EVIDENCE_INTERVAL, evidence::step),
+        every!(node, CALLS_REPORT_INTERVAL, store::report),
         every!(node, EXPIRY_INTERVAL, limits::confirm),
         every!(
             node,
--- a/crates/cyclamen-gateway/src/tasks/follow.rs
+++ b/crates/cyclamen-gateway/src/tasks/follow.rs
@@ -7,9 +7,10 @@
 use cyclamen_types::Time;
 use smol::Timer;
 
-use crate::node::{FOLLOWED_TABLES, Node, Source};
-use crate::platform::{Changes, Error, Snapshot, Table};
-use crate::tasks::store;
+use crate::node::{FOLLOWED_TABLES, Node, Source, State};
+use crate::platform::share::{Schedule, Situation, Step};
+use crate::platform::{Changes, Error, Poll, Snapshot, Table};
+use crate::tasks::{gossip, store};
 
 /// The initial time between the starts of a failed call and its retry; it doubles with each failure.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -32,10 +33,29 @@
     let mut delay = MIN_RETRY_DELAY;
     let mut synced = false;
     let mut reachable = true;
+    let mut schedule = node.state().shares_following.then(|| {
+        let options = node.settings.timing.polls(table);
+        Schedule::new(options)
+    });
     loop {
+        let mut poll = None;
+        if synced && let Some(schedule) = &mut schedule {
+            match step(&node, table, schedule, reachable) {
+                Step::Ask(next) => poll = Some(next),
+                Step::AskOthers(wait) => {
+                    gossip::ask_zone(&node);
+                    Timer::after(wait).await;
+                    continue;
+                }
+                Step::Wait(wait) => {
+                    Timer::after(wait).await;
+                    continue;
+                }
+            }
+        }
         let called_at = node.now();
         let step = if synced {
-            follow(&node, table, reachable).await
+            follow(&node, table, reachable, poll).await
         } else {
             read(&node, table).await.map(|()| true)
         };
@@ -67,6 +87,30 @@
     }
 }
 
+/// Decides whether to ask the store now if the following of tables is shared.
+///
+/// A table that has to be read again is asked for at once.
+fn step(node: &Arc<Node>, table: Table, schedule: &mut Schedule, reachable: bool) -> Step {
+    let now = node.now();
+    let mut guard = node.state();
+    let state = &mut *guard;
+    let is_urgent = table == Table::Instances && is_busy(state);
+    let is_of_former_era = state.as_of(table).era < state.era;
+    let situation = Situation {
+        age: state.proof_age(now, table),
+        zone_entries: 1 + state.peers.values().filter(|peer| peer.same_zone).count(),
+        is_urgent: is_urgent || is_of_former_era,
+        is_reachable: reachable,
+    };
+    schedule.step(now, situation, &mut state.rng)
+}
+
+/// Returns whether a group of an owned domain is being formed or dissolved.
+fn is_busy(state: &State) -> bool {
+    let mut planners = state.ownership.planners.values();
+    planners.any(Planner::is_busy)
+}
+
 /// Records a call that the store did not answer, with the time spent on it and the age of what is
 /// known of the table.
 fn record_failure(node: &Arc<Node>, table: Table, called_at: Time, error: &Error) {
@@ -83,6 +127,7 @@
 }
 
 async fn read(node: &Arc<Node>, table: Table) -> Result<(), Error> {
+    let called_at = node.now();
     let snapshot = store::read(node, table).await?;
     log::info!(
         "event=table_read table={} rows={} revision={}",
@@ -91,16 +136,24 @@
         snapshot.as_of
     );
     let now = node.now();
-    node.state()
-        .apply_snapshot(now, node.platform.as_ref(), table, snapshot);
+    let mut state = node.state();
+    state.apply_snapshot(now, node.platform.as_ref(), table, snapshot);
+    state.record_answer(table, called_at);
+    drop(state);
     node.wake_planner();
     Ok(())
 }
 
 /// Waits for changes and applies them; returns `false` if the table has to be read again.
 ///
-/// `reachable` is whether the store answered the last call.
-async fn follow(node: &Arc<Node>, table: Table, reachable: bool) -> Result<bool, Error> {
+/// `reachable` is whether the store answered the last call; `poll` is the call to make if the
+/// following of tables is shared.
+async fn follow(
+    node: &Arc<Node>,
+    table: Table,
+    reachable: bool,
+    poll: Option<Poll>,
+) -> Result<bool, Error> {
     let (after, age, era) = {
         let state = node.state();
         let age = state.table_age(node.now(), table);
@@ -110,23 +163,33 @@
         return Ok(false);
     }
     let polls = node.settings.timing.polls(table);
-    let poll = if reachable {
-        polls.next(age)
-    } else {
-        polls.retry()
-    };
+    let is_shared = poll.is_some();
+    let poll = poll.unwrap_or_else(|| match reachable {
+        true => polls.next(age),
+        false => polls.retry(),
+    });
+    let called_at = node.now();
     let followed = node.platform.follow(table, after, poll).await;
-    store::record_call(node, "follow", followed.is_ok());
+    store::record_call(node, "follow", table, followed.is_ok());
     store::observe_era(node);
     match followed? {
+        Changes::Rows(snapshot) if is_shared && snapshot.as_of < after => {
+            // Another entry told of a revision that the store has not reached.
+            log::warn!("event=position_not_reached table={}", table.as_str());
+            node.state().forget_position(table);
+            Ok(false)
+        }
         Changes::Rows(snapshot) => {
             let has_changes = !snapshot.rows.is_empty();
             let busy = apply(node, table, snapshot);
+            let complete_at = poll.complete_at(called_at, node.now(), has_changes);
+            node.state().record_answer(table, complete_at);
             if has_changes {
                 node.wake_planner();
             }
             if has_changes && !busy {
-                Timer::after(batch_window(node, table)).await;
+                let age = node.state().known_age(node.now(), table);
+                Timer::after(batch_window(node, table).saturating_sub(age)).await;
             }
             Ok(true)
         }
@@ -160,6 +223,5 @@
     let mut state = node.state();
     state.apply_rows(now, node.platform.as_ref(), Source::Store, changed.rows);
     state.record_position(now, table, changed.as_of);
-    let mut planners = state.ownership.planners.values();
-    planners.any(Planner::is_busy)
+    is_busy(&state)
 }
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -1,6 +1,7 @@
 //! Gossip with other entries.
 
 mod message;
+mod proofs;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -21,6 +22,8 @@
 const RANDOM_PARTNERS: usize = 2;
 /// The number of gossip partners within the cell in each round.
 const CELL_PARTNERS: usize = 2;
+/// The number of entries that are asked at a time when what is known of a table becomes old.
+const ASKED_ENTRIES: usize = 2;
 /// The number of rounds without gossip from an entry that should have called, after which this
 /// entry calls it.
 const SILENT_ROUNDS: u32 = 6;
@@ -74,6 +77,22 @@
     start_exchanges(node, partners);
 }
 
+/// Gossips with some random entries of the availability zone, or of others if it has none, to learn
+/// what they know of the followed tables.
+pub(super) fn ask_zone(node: &Arc<Node>) {
+    let partners = {
+        let mut guard = node.state();
+        let state = &mut *guard;
+        let is_alone = !state.peers.values().any(|peer| peer.same_zone);
+        let peers = state.peers.iter();
+        let near = peers.filter(|(_, peer)| peer.same_zone || is_alone);
+        let names = near.map(|(name, _)| name.clone());
+        let chosen = names.choose_multiple(&mut state.rng, ASKED_ENTRIES);
+        chosen.into_iter().collect()
+    };
+    start_exchanges(node, partners);
+}
+
 /// Starts an immediate gossip exchange with every entry that needs a change at once: all of
 /// them in a small fleet, otherwise those of the cell and the fellow candidates.
 pub(crate) fn gossip_now(node: &Arc<Node>) {
@@ -107,13 +126,15 @@
 }
 
 async fn exchange(node: Arc<Node>, name: entry::Name) {
+    let called_at = node.now();
     let (address, message) = {
         let state = node.state();
         let Some(peer) = state.peers.get(&name) else {
             return;
         };
         let seen_at = peer.incarnation_seen_at;
-        let message = message::build(&state, node.now(), &peer.knowledge, seen_at);
+        let mut message = message::build(&state, called_at, &peer.knowledge, seen_at);
+        proofs::ask(&state, &mut message);
         (peer.address, message)
     };
     let response = match node.peers() {
@@ -122,7 +143,7 @@
     };
     let now = node.now();
     match response {
-        Ok(received) => receive(&node, now, received),
+        Ok(received) => receive(&node, now, received, Some(called_at)),
         Err(error) => {
             let silence = millis(node.settings.timing.peer_silence_ms);
             let state = node.state();
@@ -145,14 +166,19 @@
     let now = node.now();
     let sender = received.sender.entry.clone();
     let knowledge = Knowledge::of(now, &received);
-    receive(node, now, received);
+    let asked = proofs::asked(&received);
+    receive(node, now, received, None);
     let state = node.state();
     let seen_at = state.peers.get(&sender).and_then(|p| p.incarnation_seen_at);
-    message::build(&state, now, &knowledge, seen_at)
+    let mut message = message::build(&state, now, &knowledge, seen_at);
+    proofs::answer(&state, now, &asked, &mut message);
+    message
 }
 
 /// Applies gossip from another entry.
-fn receive(node: &Arc<Node>, now: Time, received: Gossip) {
+///
+/// `called_at` is when the call began to which it is the response; `None` if the other entry called.
+fn receive(node: &Arc<Node>, now: Time, received: Gossip, called_at: Option<Time>) {
     let mut state = node.state();
     if received.sender.entry == state.local.entry {
         return;
@@ -179,6 +205,8 @@
         .record_peer_loads(now, sender.as_str(), received.loads);
     state.record_answers(now, received.answers);
     state.record_strikes(now, received.strikes);
+    let proofs =
+        called_at.map_or_else(Vec::new, |at| proofs::received(&state, at, &received.delta));
     let rows = received.delta.rows.into_iter();
     let rows = rows.filter(|row| !state.rows.may_be_forgotten(row));
     let rows: Vec<Row> = rows.filter_map(row).collect();
@@ -195,6 +223,11 @@
     if let Some(newest) = newest.filter(|_| now >= FORMER_INCARNATION_UNTIL) {
         state.record_operators_gossip(now, newest);
     }
+    for proof in proofs {
+        if state.record_proof(now, proof) {
+            node.metrics.record_table_proof(proof.table);
+        }
+    }
     let to_probe = state.record_suspicions(now, &sender, received.suspected, received.reached);
     drop(state);
     for worker in to_probe {
--- a/crates/cyclamen-gateway/src/tasks/gossip/message.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip/message.rs
@@ -13,7 +13,7 @@
 /// current.
 const REPORTED_REVISIONS_TTL: Duration = Duration::from_millis(400);
 /// The maximum number of rows in a gossip message.
-const MAX_ROWS: usize = 256;
+pub(super) const MAX_ROWS: usize = 256;
 /// How long after its first gossip an entry counts as new and also gets strikes that were
 /// gossiped earlier.
 const NEW_ENTRY_DURATION: Duration = Duration::from_secs(2);
@@ -102,7 +102,7 @@
         issues: state.issued_scopes(now),
         uses_permits: true,
         is_draining: state.is_draining(),
-        store_age: now.since(state.store_answered_at),
+        store_age: now.since(state.store_known_at()),
         demands: Vec::new(),
         observations: Vec::new(),
         team_work: Vec::new(),
--- a/crates/cyclamen-gateway/src/tasks/store.rs
+++ b/crates/cyclamen-gateway/src/tasks/store.rs
@@ -10,7 +10,7 @@
 /// Reads a complete table.
 pub(super) async fn read(node: &Node, table: Table) -> Result<Snapshot, Error> {
     let result = node.platform.read(table).await;
-    record_call(node, "read", result.is_ok());
+    record_call(node, "read", table, result.is_ok());
     observe_era(node);
     let result = result.and_then(|snapshot| {
         let is_current = snapshot.as_of.era == node.state().era;
@@ -24,8 +24,9 @@
 
 /// Commits a transaction; the caller logs a failure.
 pub(super) async fn commit(node: &Node, transaction: Transaction) -> Result<Commit, Error> {
+    let table = transaction.table();
     let result = node.platform.commit(transaction).await;
-    record_call(node, "commit", result.is_ok());
+    record_call(node, "commit", table, result.is_ok());
     observe_era(node);
     match result {
         Ok(Commit::Done(revision)) if revision.era < node.state().era => Err(Error::EraEnded),
@@ -34,10 +35,20 @@
 }
 
 /// Counts a call to the store and records whether the store answered it.
-pub(super) fn record_call(node: &Node, call: &'static str, ok: bool) {
-    node.metrics.record_store_call(call, ok);
+pub(super) fn record_call(node: &Node, call: &'static str, table: Table, ok: bool) {
+    node.metrics.record_store_call(call, table, ok);
+    let mut state = node.state();
+    state.store_calls.record(call, table);
     if ok {
-        node.state().store_answered_at = node.now();
+        state.store_answered_at = node.now();
+    }
+}
+
+/// Logs how many calls of each kind were made since the last time, and how many were not needed.
+pub(super) async fn report(node: &Arc<Node>) {
+    let calls = std::mem::take(&mut node.state().store_calls);
+    if !calls.is_empty() {
+        log::info!("event=store_calls {calls}");
     }
 }
 
