gateway: polls of shared tables let changes accumulate, and a position out of reach is corrected

Now one entry of a zone holds polls on average, its window is half of the time that the bound leaves, and an owner at work on a group waits 100 ms, the interval of its plans.

--- a/crates/cyclamen-gateway/src/node/proofs.rs
+++ b/crates/cyclamen-gateway/src/node/proofs.rs
@@ -80,17 +80,19 @@
         now.since(known.copied().unwrap_or_default())
     }
 
-    /// Returns the age by which the next call for changes has to be earlier: that of the last proof,
-    /// zero unless following is shared.
-    pub(crate) fn known_age(&self, now: Time, table: Table) -> Duration {
-        let known = self.proved_at.get(&table);
-        known.map_or(Duration::ZERO, |at| now.since(*at))
+    /// Forgets the proofs of a table, which is to be read again.
+    pub(crate) fn distrust(&mut self, table: Table) {
+        self.proved_at.remove(&table);
     }
 
-    /// Forgets the position in a table, which is to be read again.
-    pub(crate) fn forget_position(&mut self, table: Table) {
-        self.positions.remove(&table);
-        self.proved_at.remove(&table);
+    /// Corrects a position that the store has not reached, as a complete table shows.
+    ///
+    /// One that another entry has told in the meantime is corrected too; its rows are known.
+    pub(crate) fn reset_position(&mut self, table: Table, as_of: Revision) {
+        let position = self.positions.get_mut(&table);
+        if let Some(position) = position.filter(|position| position.era == as_of.era) {
+            *position = as_of.min(*position);
+        }
     }
 
     /// Returns when the store last answered this entry or, as far as is proved, another one.
--- a/crates/cyclamen-gateway/src/platform/share.rs
+++ b/crates/cyclamen-gateway/src/platform/share.rs
@@ -8,7 +8,10 @@
 use crate::platform::poll::{self, Poll};
 
 /// The mean number of entries of an availability zone that hold polls of a table.
-const HOLDERS_PER_ZONE: usize = 2;
+const HOLDERS_PER_ZONE: usize = 1;
+/// The time for which changes of a table accumulate if they are urgent; a planner makes its plans at
+/// about this interval.
+const URGENT_WINDOW: Duration = Duration::from_millis(100);
 /// The shortest time for which an entry holds polls, or does not.
 const MIN_TERM: Duration = Duration::from_secs(4);
 /// The longest time for which an entry holds polls, or does not.
@@ -101,6 +104,18 @@
         }
     }
 
+    /// Returns the time until the next poll after a response with changes, so that more of them
+    /// accumulate: entries that hold polls are answered at different times and tell each other.
+    pub fn window(&self, age: Duration, is_urgent: bool) -> Duration {
+        let window = self.options.max_delay() / 2;
+        let window = if is_urgent {
+            window.min(URGENT_WINDOW)
+        } else {
+            window
+        };
+        window.saturating_sub(age)
+    }
+
     fn begin_term(&mut self, now: Time, zone_entries: usize, rng: &mut impl Rng) {
         self.term_ends_at = now + rng.random_range(MIN_TERM..=MAX_TERM);
         self.holds = rng.random_range(0..zone_entries.max(1)) < HOLDERS_PER_ZONE;
--- a/crates/cyclamen-gateway/src/tasks/follow.rs
+++ b/crates/cyclamen-gateway/src/tasks/follow.rs
@@ -38,10 +38,10 @@
         Schedule::new(options)
     });
     loop {
-        let mut poll = None;
+        let mut shared = None;
         if synced && let Some(schedule) = &mut schedule {
             match step(&node, table, schedule, reachable) {
-                Step::Ask(next) => poll = Some(next),
+                Step::Ask(poll) => shared = Some((poll, *schedule)),
                 Step::AskOthers(wait) => {
                     gossip::ask_zone(&node);
                     Timer::after(wait).await;
@@ -55,7 +55,7 @@
         }
         let called_at = node.now();
         let step = if synced {
-            follow(&node, table, reachable, poll).await
+            follow(&node, table, reachable, shared).await
         } else {
             read(&node, table).await.map(|()| true)
         };
@@ -137,6 +137,9 @@
     );
     let now = node.now();
     let mut state = node.state();
+    if state.shares_following {
+        state.reset_position(table, snapshot.as_of);
+    }
     state.apply_snapshot(now, node.platform.as_ref(), table, snapshot);
     state.record_answer(table, called_at);
     drop(state);
@@ -146,13 +149,13 @@
 
 /// Waits for changes and applies them; returns `false` if the table has to be read again.
 ///
-/// `reachable` is whether the store answered the last call; `poll` is the call to make if the
-/// following of tables is shared.
+/// `reachable` is whether the store answered the last call; `shared` is the call to make, and the
+/// schedule that decided so, if the following of tables is shared.
 async fn follow(
     node: &Arc<Node>,
     table: Table,
     reachable: bool,
-    poll: Option<Poll>,
+    shared: Option<(Poll, Schedule)>,
 ) -> Result<bool, Error> {
     let (after, age, era) = {
         let state = node.state();
@@ -163,20 +166,20 @@
         return Ok(false);
     }
     let polls = node.settings.timing.polls(table);
-    let is_shared = poll.is_some();
-    let poll = poll.unwrap_or_else(|| match reachable {
-        true => polls.next(age),
-        false => polls.retry(),
-    });
+    let poll = match shared {
+        Some((poll, _)) => poll,
+        None if reachable => polls.next(age),
+        None => polls.retry(),
+    };
     let called_at = node.now();
     let followed = node.platform.follow(table, after, poll).await;
     store::record_call(node, "follow", table, followed.is_ok());
     store::observe_era(node);
     match followed? {
-        Changes::Rows(snapshot) if is_shared && snapshot.as_of < after => {
+        Changes::Rows(snapshot) if shared.is_some() && snapshot.as_of < after => {
             // Another entry told of a revision that the store has not reached.
             log::warn!("event=position_not_reached table={}", table.as_str());
-            node.state().forget_position(table);
+            node.state().distrust(table);
             Ok(false)
         }
         Changes::Rows(snapshot) => {
@@ -187,9 +190,15 @@
             if has_changes {
                 node.wake_planner();
             }
-            if has_changes && !busy {
-                let age = node.state().known_age(node.now(), table);
-                Timer::after(batch_window(node, table).saturating_sub(age)).await;
+            if has_changes {
+                let window = match shared {
+                    Some((_, schedule)) => shared_window(node, table, schedule, busy),
+                    None if busy => Duration::ZERO,
+                    None => batch_window(node, table),
+                };
+                if !window.is_zero() {
+                    Timer::after(window).await;
+                }
             }
             Ok(true)
         }
@@ -200,6 +209,14 @@
     }
 }
 
+/// Returns the delay of the next read of changes if the following of tables is shared.
+fn shared_window(node: &Arc<Node>, table: Table, schedule: Schedule, busy: bool) -> Duration {
+    match table {
+        Table::Instances => schedule.window(node.state().proof_age(node.now(), table), busy),
+        Table::Operators | Table::Entries | Table::Domains | Table::Parts => Duration::ZERO,
+    }
+}
+
 /// Returns the delay of the next read of changes; it grows with the number of entries that query
 /// the store.
 fn batch_window(node: &Arc<Node>, table: Table) -> Duration {
