--- a/dev/bench/src/choice.rs
+++ b/dev/bench/src/choice.rs
@@ -145,6 +145,7 @@
         late: false,
         tokens: 1_400,
         priority: 1,
+        caller: cyclamen_dispatch::Caller::default(),
     };
     let mut rng = SmallRng::seed_from_u64(1);
     let mut chosen = Vec::new();
