gateway: the memory of requests is bounded

Cause: each body grew by doubling in a buffer of its own with no limit for all of them, and each attempt copied it; a head of many short fields takes fifty times its bytes. Change: memory for heads and bodies is reserved as they come (caller_memory_mib, derived from the memory of the machine); when it is short, those that do not come on go first, then newcomers are refused (503 no_request_memory, no worker has got them). Attempts share one copy of a body. A connection closes after a head of more than 256 fields.

--- a/crates/cyclamen-entry/src/caller/plain.rs
+++ b/crates/cyclamen-entry/src/caller/plain.rs
@@ -196,7 +196,7 @@
             method: self.method,
             target: &self.target,
             headers,
-            body: self.body.clone(),
+            body: self.body.as_slice().into(),
             timeout: self.remaining(),
         };
         let sent_at = self.node.now();
--- a/crates/cyclamen-gateway/src/frontend.rs
+++ b/crates/cyclamen-gateway/src/frontend.rs
@@ -1,5 +1,6 @@
 //! HTTP handlers for callers, the readiness check and metrics.
 
+mod body;
 mod buffered;
 mod call;
 mod check;
--- a/crates/cyclamen-gateway/src/frontend/call.rs
+++ b/crates/cyclamen-gateway/src/frontend/call.rs
@@ -35,7 +35,7 @@
     pub(crate) target: Target,
     /// The caller's headers without those that the gateway sets.
     pub(crate) headers: Headers,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: Arc<[u8]>,
     pub(crate) arrived_at: Time,
     pub(crate) deadline: Time,
     /// The entry that handed the request over, unless a caller sent it.
--- a/crates/cyclamen-gateway/src/frontend/check.rs
+++ b/crates/cyclamen-gateway/src/frontend/check.rs
@@ -5,8 +5,6 @@
 
 use cyclamen_directory::team::Key;
 use cyclamen_directory::{Catalog, Route, Team};
-use smol::Timer;
-use smol::future::or;
 use trillium::{Conn, KnownHeaderName};
 
 use crate::frontend::refusal::Refusal;
@@ -14,9 +12,6 @@
 use crate::node::Node;
 use crate::platform::Table;
 
-/// The timeout for reading a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// The longest part of a path that is logged, in characters.
 const MAX_LOGGED_PATH: usize = 1_000;
 
@@ -93,22 +88,3 @@
         age.as_millis()
     );
 }
-
-/// Reads the body of a request, of `limit` bytes at most.
-pub(super) async fn read_body(conn: &mut Conn, limit: u64) -> Result<Vec<u8>, Refusal> {
-    let reading = async {
-        let body = conn.request_body().with_max_len(limit);
-        match body.read_bytes().await {
-            Ok(bytes) => Ok(bytes),
-            Err(error) if cyclamen_server::is_too_long(&error) => {
-                Err(Refusal::invalid(413, "body_too_long"))
-            }
-            Err(_) => Err(Refusal::invalid(400, "body_not_read")),
-        }
-    };
-    let timeout = async {
-        Timer::after(BODY_TIMEOUT).await;
-        Err(Refusal::invalid(408, "body_late"))
-    };
-    or(reading, timeout).await
-}
--- a/crates/cyclamen-gateway/src/frontend/handover.rs
+++ b/crates/cyclamen-gateway/src/frontend/handover.rs
@@ -92,7 +92,7 @@
         tokens: prompt.tokens,
         method: conn.method(),
         target,
-        body: Vec::new(),
+        body: Arc::default(),
         arrived_at: now - Duration::from_millis(envelope.waited_ms),
         deadline: now + remaining,
         fingerprint: OnceLock::new(),
--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -7,12 +7,14 @@
 use std::time::Duration;
 
 use cyclamen_dispatch::{Dispatch, Reason};
+use cyclamen_relay::intake::Upload;
 use cyclamen_types::{Time, entry, instance};
 use rand::Rng;
 use trillium::{Conn, KnownHeaderName};
 
+use crate::frontend::body::read_body;
 use crate::frontend::call::{Call, Prompt};
-use crate::frontend::check::{Checked, check, read_body, record_refused_head};
+use crate::frontend::check::{Checked, check, record_refused_head};
 use crate::frontend::refusal::Refusal;
 use crate::frontend::way::{Handover, Way};
 use crate::handover::INTERNAL_HEADERS;
@@ -55,6 +57,8 @@
     not_run: u32,
     failed_connects: u32,
     finished: bool,
+    /// What the head and the body take of the memory that requests share.
+    memory: Upload,
 }
 
 impl Request {
@@ -97,7 +101,7 @@
             method: conn.method(),
             target,
             headers,
-            body: Vec::new(),
+            body: Arc::default(),
             arrived_at,
             deadline,
             sender: None,
@@ -120,7 +124,8 @@
     /// Reads the body, of `limit` bytes at most.
     pub(super) async fn read_body(&mut self, conn: &mut Conn, limit: u64) -> Result<(), Refusal> {
         let node = self.call.node.clone();
-        match node.abortion.or_aborted(read_body(conn, limit)).await {
+        let reading = read_body(&node, conn, limit, &mut self.memory);
+        match node.abortion.or_aborted(reading).await {
             Some(Ok(body)) => Arc::make_mut(&mut self.call).body = body,
             Some(Err(refusal)) => return Err(self.record_refusal(refusal)),
             None => return Err(self.record_abortion()),
@@ -132,6 +137,7 @@
     pub(super) fn new(call: Call) -> Self {
         call.node.state().in_progress += 1;
         Self {
+            memory: call.node.request_memory.upload(call.node.now()),
             call: Arc::new(call),
             tried: Vec::new(),
             shed: Vec::new(),
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -20,7 +20,7 @@
 
 use cyclamen_http::Client;
 use cyclamen_peer::Peers;
-use cyclamen_relay::Budget;
+use cyclamen_relay::{Budget, Intake};
 use cyclamen_task::Abortion;
 use cyclamen_types::Time;
 
@@ -47,6 +47,8 @@
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) http: Client,
     pub(crate) metrics: Metrics,
+    /// The memory that the requests of callers and other entries share.
+    pub(crate) request_memory: Intake,
     /// The memory that the bodies of responses and incomplete events of streams share.
     pub(crate) response_memory: Budget,
     /// Wakes the planner; the channel holds at most one wake-up.
@@ -72,6 +74,7 @@
             http: Client::new(cyclamen_http::Options {
                 connect_timeout: CONNECT_TIMEOUT,
             }),
+            request_memory: Intake::new(settings.intake()),
             response_memory: Budget::new((settings.response_memory_mib as usize) << 20),
             state: Mutex::new(State::new(&settings)),
             peers: OnceLock::new(),
--- a/crates/cyclamen-gateway/src/settings.rs
+++ b/crates/cyclamen-gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cyclamen_relay::intake;
 pub use cyclamen_settings::{Fault, Secret};
 use cyclamen_types::{entry, zone};
 use schemars::JsonSchema;
@@ -49,8 +50,37 @@
     /// 8 MiB and an event of more than 1 MiB always do.
     #[serde(default = "default_response_memory")]
     pub response_memory_mib: u32,
+    /// The memory that the requests of callers and other entries share until they end, in MiB; without it, a
+    /// part of the memory of the machine.
+    ///
+    /// When it is short, requests that do not come on are refused first, then those that begin. A request that
+    /// is alone is always taken.
+    #[serde(default)]
+    pub caller_memory_mib: Option<u32>,
+    /// What the machine allows this process.
+    #[serde(default)]
+    pub machine: Machine,
 }
 
+/// What a machine allows a process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Machine {
+    /// The memory, in MB; without it, that of the smallest machine that is supported.
+    pub memory_mb: Option<u32>,
+    /// The number of descriptors; without it, the limit of the process.
+    pub max_fds: Option<u32>,
+}
+
+/// The memory of the smallest machine that is supported, in MB.
+const LEAST_MACHINE_MB: u32 = 160;
+/// The memory that the process needs for itself, in MB.
+const OWN_MEMORY_MB: u32 = 48;
+/// The least memory that requests share: a body of the usual limit, with room for others.
+const LEAST_CALLER_MEMORY_MIB: u32 = 16;
+/// One in this many bytes of the memory of requests is kept for small ones.
+const SMALL_REQUESTS_PART: usize = 8;
+
 /// Room for four bodies of the maximum size; buffers that grow may take twice as much.
 const DEFAULT_RESPONSE_MEMORY_MIB: u32 = 32;
 
@@ -203,6 +233,21 @@
 }
 
 impl Settings {
+    /// Returns the bounds on what requests hold.
+    pub(crate) fn intake(&self) -> intake::Options {
+        let mib = self.caller_memory_mib.unwrap_or_else(|| {
+            let memory_mb = self.machine.memory_mb.unwrap_or(LEAST_MACHINE_MB);
+            let rest = memory_mb.saturating_sub(OWN_MEMORY_MB + self.response_memory_mib);
+            (rest / 2).max(LEAST_CALLER_MEMORY_MIB)
+        });
+        let limit = (mib as usize) << 20;
+        intake::Options {
+            limit,
+            reserve: limit / SMALL_REQUESTS_PART,
+            ..Default::default()
+        }
+    }
+
     /// Returns all invalid values that the types do not rule out.
     pub fn faults(&self) -> Vec<Fault> {
         let Self {
--- a/crates/cyclamen-http/src/client.rs
+++ b/crates/cyclamen-http/src/client.rs
@@ -164,14 +164,14 @@
 
     fn build_forwarding_conn(&self, request: Forward<'_>) -> Conn {
         let path = request_line::encode(request.target);
-        let request = Request {
-            method: request.method,
-            url: &format!("http://{}{path}", request.address),
-            headers: request.headers,
-            body: request.body,
-            timeout: request.timeout,
-        };
-        build_conn(&self.forwarding, request)
+        let url = format!("http://{}{path}", request.address);
+        let mut conn = self.forwarding.build_conn(request.method, url.as_str());
+        conn.request_headers_mut().append_all(request.headers);
+        if request.body.is_empty() {
+            conn
+        } else {
+            conn.with_body(request.body)
+        }
     }
 
     /// Opens a stream of server-sent events over a new connection.
--- a/crates/cyclamen-http/src/message.rs
+++ b/crates/cyclamen-http/src/message.rs
@@ -1,6 +1,7 @@
 //! Requests and responses.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
@@ -48,8 +49,8 @@
     pub target: &'a Target,
     /// The headers, without those that the connection sets itself.
     pub headers: Headers,
-    /// The body.
-    pub body: Vec<u8>,
+    /// The body, which the attempts of a request share.
+    pub body: Arc<[u8]>,
     /// Timeout for the complete response, or for its head if the body is streamed.
     pub timeout: Duration,
 }
--- a/crates/cyclamen-http/tests/target.rs
+++ b/crates/cyclamen-http/tests/target.rs
@@ -86,7 +86,7 @@
         method: Method::Put,
         target,
         headers: Headers::new(),
-        body,
+        body: body.into(),
         timeout: Duration::from_secs(10),
     };
     let response = smol::block_on(client.forward(request))?;
--- a/crates/cyclamen-relay/src/intake.rs
+++ b/crates/cyclamen-relay/src/intake.rs
@@ -30,7 +30,7 @@
         Self {
             limit: 40 << 20,
             reserve: 4 << 20,
-            small: 16 << 10,
+            small: 32 << 10,
             stall: Duration::from_secs(1),
             step: 16 << 10,
         }
--- a/crates/cyclamen-server/src/connection.rs
+++ b/crates/cyclamen-server/src/connection.rs
@@ -24,6 +24,8 @@
 pub(crate) const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long a peer may go on sending after this side has closed a connection.
 const MAX_LINGER: Duration = Duration::from_secs(5);
+/// The number of fields of a head after which a connection closes: it would keep the memory for as many.
+const MANY_FIELDS: usize = 256;
 /// The size of the buffer for bytes that are discarded.
 const DISCARD_BYTES: usize = 4 << 10;
 
@@ -86,7 +88,8 @@
             let conn = handler.before_send(conn).await;
             let mut conn = conn.into_inner::<SmolTransport<TcpStream>>();
             // What is left of a body would be read as the next request.
-            if shared.says_close() || !body::is_at_end(&mut conn) {
+            let has_many_fields = conn.request_headers().len() > MANY_FIELDS;
+            if shared.says_close() || has_many_fields || !body::is_at_end(&mut conn) {
                 last.shut_down();
             }
             conn
