server, gateway: connections, heads, idle peers and unread responses are bounded

Cause: a listener accepted connections until no descriptor was left, waited for heads and idle peers for good, and a peer that sent requests ahead kept the one thread. Change: a maximum of connections for each listener from the limit of descriptors; header_timeout_ms and idle_timeout_ms of the configuration hold, with a second more, at all listeners (constants at the own interface); a peer that takes nothing of a response for the idle time is reset; a connection yields before a request that was not waited for; refused connections get Retry-After, at most 16 at once, the rest are closed.

--- a/crates/cyclamen-directory/src/catalog.rs
+++ b/crates/cyclamen-directory/src/catalog.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cyclamen_types::pool;
 
@@ -27,6 +28,10 @@
     pub head_bytes: u64,
     /// The largest request body, in bytes.
     pub body_bytes: u64,
+    /// How long the head of a request may take.
+    pub head_timeout: Duration,
+    /// How long a connection may be idle.
+    pub idle_timeout: Duration,
 }
 
 impl Default for Limits {
@@ -34,6 +39,8 @@
         Self {
             head_bytes: 16 << 10,
             body_bytes: 4 << 20,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
         }
     }
 }
--- a/crates/cyclamen-entry/src/run.rs
+++ b/crates/cyclamen-entry/src/run.rs
@@ -8,7 +8,7 @@
 use cyclamen_claim::{Attempt, Progress};
 use cyclamen_drain::Schedule;
 use cyclamen_peer::{AdmissionRequest, AdmissionResponse, BoxFuture, Gossip, Release, Service};
-use cyclamen_server::{Server, Shutdown};
+use cyclamen_server::{Server, Shutdown, Timeouts};
 use eyre::WrapErr;
 use futures::StreamExt;
 use smol::Timer;
@@ -21,6 +21,12 @@
 use crate::telemetry::Metrics;
 use crate::{caller, operator, tasks};
 
+/// How long the head of a request may take.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a connection may be idle, or its peer take nothing of a response.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// The maximum number of connections of operators.
+const OPERATOR_CONNECTIONS: usize = 64;
 /// The timeout for resigning the lease.
 const RESIGN_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -91,13 +97,16 @@
     let http = HttpConfig::default()
         .with_head_max_len(bounds.head_bytes)
         .with_received_body_max_len(bounds.body_bytes);
+    let timeouts = Arc::new(Timeouts::default());
+    timeouts.set(HEAD_TIMEOUT, IDLE_TIMEOUT);
     let callers = cyclamen_server::Options {
         http,
         connections: Some(bounds.connections),
+        timeouts,
     };
     let operators = cyclamen_server::Options {
-        http,
-        connections: None,
+        connections: Some(OPERATOR_CONNECTIONS),
+        ..callers.clone()
     };
     let callers = Server::start(caller_listener, callers, caller::Api(node.clone()));
     let operators = Server::start(operator_listener, operators, operator::Api(node.clone()));
--- a/crates/cyclamen-gateway/src/lib.rs
+++ b/crates/cyclamen-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! to date, and startup and shutdown.
 
 mod clock;
+mod descriptors;
 mod frontend;
 mod handover;
 mod metrics;
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -13,6 +13,7 @@
 mod state;
 mod suspicions;
 mod targets;
+mod timeouts;
 mod updates;
 
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -16,6 +16,7 @@
 use cyclamen_replica::{Detector, Reach};
 use cyclamen_route::containment::Part;
 use cyclamen_route::{Strikes, containment};
+use cyclamen_server::Timeouts;
 use cyclamen_types::{Time, domain, entry, instance, pool, route, zone};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -25,6 +26,7 @@
 use crate::node::odd_rows::OddRows;
 use crate::node::ownership::Ownership;
 use crate::node::peers::Peer;
+use crate::node::timeouts;
 use crate::platform::Table;
 use crate::settings::{self, Settings, millis};
 
@@ -49,6 +51,8 @@
     /// The address on which this entry takes requests that other entries hand over.
     pub(crate) handover_listen: Option<SocketAddr>,
     pub(crate) catalog: Arc<Catalog>,
+    /// How long the peers of all listeners may take, by the catalog.
+    pub(crate) timeouts: Arc<Timeouts>,
     /// The key of the row with the configuration, once there is one.
     pub(crate) catalog_key: Option<Key>,
     /// The last configuration that could not be read.
@@ -132,6 +136,7 @@
             },
             zone: settings.zone.clone(),
             handover_listen: settings.handover_listen,
+            timeouts: timeouts::new(),
             catalog: Arc::default(),
             catalog_key: None,
             refused_catalog: None,
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -10,6 +10,7 @@
 use cyclamen_types::excerpt::Word;
 
 use crate::node::State;
+use crate::node::timeouts;
 use crate::platform::{DecodeError, Platform, Record, Row, Snapshot, Subject, Table};
 
 /// The time after which other entries should have read a change of the instance list from the
@@ -255,6 +256,7 @@
                     catalog.version(),
                     source.as_str()
                 );
+                timeouts::set(&self.timeouts, &catalog.limits());
                 self.catalog = Arc::new(catalog);
                 self.catalog_since = now;
                 self.retain_configured();
--- a/crates/cyclamen-gateway/src/run.rs
+++ b/crates/cyclamen-gateway/src/run.rs
@@ -14,6 +14,7 @@
 use trillium_http::HttpConfig;
 use trillium_smol::async_net;
 
+use crate::descriptors::Shares;
 use crate::metrics::Metrics;
 use crate::node::{FOLLOWED_TABLES, Node};
 use crate::platform::{Platform, poll};
@@ -70,15 +71,26 @@
         env!("CARGO_PKG_VERSION")
     );
     warn_of_short_freshness(&node);
-    let handover_server =
-        handover_listener.map(|listener| serve(listener, frontend::Receiver(node.clone())));
+    let shares = Shares::of(&node.settings.machine);
+    let timeouts = node.state().timeouts.clone();
+    let options = |connections| cyclamen_server::Options {
+        http: HttpConfig::default().with_head_max_len(MAX_HEAD_BYTES),
+        connections,
+        timeouts: timeouts.clone(),
+    };
+    let receiver = frontend::Receiver(node.clone());
+    let handover_server = handover_listener
+        .map(|listener| Server::start(listener, options(shares.handovers), receiver));
+    let readiness = frontend::Readiness(node.clone());
+    let metrics = frontend::Metrics(node.clone());
     let servers = [
-        serve(ready_listener, frontend::Readiness(node.clone())),
-        serve(metrics_listener, frontend::Metrics(node.clone())),
+        Server::start(ready_listener, options(shares.operators), readiness),
+        Server::start(metrics_listener, options(shares.operators), metrics),
     ];
+    let callers = frontend::Proxy(node.clone());
     Ok(Handle {
         tasks: tasks::start(&node),
-        caller_server: serve(caller_listener, frontend::Proxy(node.clone())),
+        caller_server: Server::start(caller_listener, options(shares.callers), callers),
         handover_server,
         internal_servers: servers.into(),
         node,
@@ -101,14 +113,6 @@
     }
 }
 
-fn serve(listener: async_net::TcpListener, handler: impl trillium::Handler) -> Server {
-    let options = cyclamen_server::Options {
-        http: HttpConfig::default().with_head_max_len(MAX_HEAD_BYTES),
-        ..Default::default()
-    };
-    Server::start(listener, options, handler)
-}
-
 fn bind(address: SocketAddr) -> eyre::Result<async_net::TcpListener> {
     let listener =
         TcpListener::bind(address).wrap_err_with(|| format!("{address} cannot be bound"))?;
--- a/crates/cyclamen-server/src/body.rs
+++ b/crates/cyclamen-server/src/body.rs
@@ -4,8 +4,8 @@
 
 use futures::{AsyncReadExt, FutureExt};
 use trillium_http::{Conn, Error, KnownHeaderName};
-use trillium_smol::SmolTransport;
-use trillium_smol::async_net::TcpStream;
+
+use crate::transport::Transport;
 
 /// The size of the buffer for the rest of a body.
 const BUFFER_BYTES: usize = 4 << 10;
@@ -24,7 +24,7 @@
 
 /// Returns whether the next request of a connection can be read, because the current one's body has been
 /// read to its end; a small rest that has come is read.
-pub(crate) fn is_at_end(conn: &mut Conn<SmolTransport<TcpStream>>) -> bool {
+pub(crate) fn is_at_end(conn: &mut Conn<Transport>) -> bool {
     let headers = conn.request_headers_mut();
     // Without a length, the rest may be out of step: what was read before an error is lost.
     let is_readable = headers.has_header(KnownHeaderName::ContentLength)
@@ -39,7 +39,7 @@
 }
 
 /// Reads what has come of a body, as far as it is small.
-fn read_rest(conn: &mut Conn<SmolTransport<TcpStream>>) {
+fn read_rest(conn: &mut Conn<Transport>) {
     let mut buffer = [0; BUFFER_BYTES];
     let mut rest = 0;
     while rest < MAX_REST_BYTES
@@ -51,9 +51,6 @@
 }
 
 /// Reads from a body unless it would have to be waited for.
-fn read(
-    conn: &mut Conn<SmolTransport<TcpStream>>,
-    buffer: &mut [u8],
-) -> Option<std::io::Result<usize>> {
+fn read(conn: &mut Conn<Transport>, buffer: &mut [u8]) -> Option<std::io::Result<usize>> {
     conn.request_body().read(buffer).now_or_never()
 }
--- a/crates/cyclamen-server/src/connection.rs
+++ b/crates/cyclamen-server/src/connection.rs
@@ -9,16 +9,16 @@
 use futures::AsyncReadExt;
 use rustix::net::sockopt::set_socket_linger;
 use smol::Timer;
-use smol::future::or;
+use smol::future::{or, yield_now};
 use swansong::Swansong;
 use trillium::{Conn, Handler};
 use trillium_http::{HttpContext, Version};
-use trillium_smol::SmolTransport;
 use trillium_smol::async_net::TcpStream;
 
 use crate::body;
 use crate::peer::Peer;
 use crate::server::{Place, Shared};
+use crate::transport::{Progress, Transport};
 
 /// How long a peer may send nothing, and not close, after this side has closed a connection.
 pub(crate) const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
@@ -76,22 +76,31 @@
     let context = HttpContext::new()
         .with_config(shared.options.http)
         .with_swansong(last.clone());
-    let transport = SmolTransport::from(stream.clone());
+    let progress = Arc::new(Progress::default());
+    let timeouts = shared.options.timeouts.clone();
+    let transport = Transport::new(stream.clone(), timeouts, progress.clone());
     let served = Arc::new(context).run(transport, |conn| {
         let (shared, last, handler) = (shared.clone(), last.clone(), handler.clone());
         let peer = Peer::new(stream.clone());
+        let progress = progress.clone();
+        let has_waited = progress.begin_request();
         // Responses to HTTP/1.0 have no chunks.
         is_unframed.store(conn.http_version() == Version::Http1_0, Ordering::Relaxed);
         async move {
+            // A peer that sends requests ahead does not keep others waiting.
+            if !has_waited {
+                yield_now().await;
+            }
             let conn = Conn::from(conn).with_state(peer);
             let conn = handler.run(conn).await;
             let conn = handler.before_send(conn).await;
-            let mut conn = conn.into_inner::<SmolTransport<TcpStream>>();
+            let mut conn = conn.into_inner::<Transport>();
             // What is left of a body would be read as the next request.
             let has_many_fields = conn.request_headers().len() > MANY_FIELDS;
             if shared.says_close() || has_many_fields || !body::is_at_end(&mut conn) {
                 last.shut_down();
             }
+            progress.begin_response();
             conn
         }
     });
@@ -99,7 +108,7 @@
         return End::Closed;
     };
     log::debug!("event=connection_failed reason=\"{error}\"");
-    if is_unframed.load(Ordering::Relaxed) {
+    if is_unframed.load(Ordering::Relaxed) || progress.is_stalled() {
         End::Broken
     } else {
         End::Closed
--- a/crates/cyclamen-server/src/lib.rs
+++ b/crates/cyclamen-server/src/lib.rs
@@ -16,8 +16,11 @@
 mod peer;
 mod server;
 mod shutdown;
+mod timeouts;
+mod transport;
 
 pub use body::is_too_long;
 pub use peer::Peer;
 pub use server::{Options, Server};
 pub use shutdown::Shutdown;
+pub use timeouts::Timeouts;
--- a/crates/cyclamen-server/src/server.rs
+++ b/crates/cyclamen-server/src/server.rs
@@ -12,20 +12,25 @@
 use trillium_smol::async_net::{TcpListener, TcpStream};
 
 use crate::connection;
+use crate::timeouts::Timeouts;
 
 /// The pause after a connection could not be accepted, such as for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// The response to connections beyond the maximum.
 const UNAVAILABLE: &[u8] =
-    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n";
+/// The number of connections beyond the maximum that are answered at once; others are closed.
+const MAX_REJECTED: usize = 16;
 
 /// The options of a server.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Options {
     /// The bounds of requests and the sizes of buffers.
     pub http: HttpConfig,
     /// The maximum number of concurrent connections; without one, there is no maximum.
     pub connections: Option<usize>,
+    /// How long peers may take; the default sets no limits.
+    pub timeouts: Arc<Timeouts>,
 }
 
 /// A running server; clones are handles of the same one.
@@ -41,6 +46,10 @@
     says_close: AtomicBool,
     /// The number of connections.
     count: AtomicUsize,
+    /// The number of connections beyond the maximum that are being answered.
+    rejected: AtomicUsize,
+    /// The number of connections beyond the maximum, ever.
+    refused: AtomicUsize,
 }
 
 impl Shared {
@@ -58,6 +67,8 @@
             closing: Swansong::new(),
             says_close: AtomicBool::new(false),
             count: AtomicUsize::new(0),
+            rejected: AtomicUsize::new(0),
+            refused: AtomicUsize::new(0),
         });
         let guard = shared.closing.guard();
         smol::spawn(accept(guard, shared.clone(), listener, Arc::new(handler))).detach();
@@ -69,6 +80,11 @@
         self.0.says_close.store(true, Ordering::Relaxed);
     }
 
+    /// Returns the number of connections beyond the maximum that were refused.
+    pub fn refused(&self) -> usize {
+        self.0.refused.load(Ordering::Relaxed)
+    }
+
     /// Accepts no more connections, and closes idle ones at once and the others after their response.
     ///
     /// The result completes once all of them are closed.
@@ -116,7 +132,7 @@
                 let served = connection::serve(place, shared.clone(), stream, handler.clone());
                 smol::spawn(served).detach();
             }
-            Ok((stream, _)) => smol::spawn(reject(stream)).detach(),
+            Ok((stream, _)) => refuse(&shared, stream),
             Err(error) => {
                 log::warn!("event=connection_not_accepted reason=\"{error}\"");
                 Timer::after(ACCEPT_PAUSE).await;
@@ -130,6 +146,25 @@
     connections.is_none_or(|most| shared.count.load(Ordering::Relaxed) < most)
 }
 
+/// Answers a connection beyond the maximum, unless many are being answered.
+fn refuse(shared: &Arc<Shared>, stream: TcpStream) {
+    let refused = shared.refused.fetch_add(1, Ordering::Relaxed) + 1;
+    // One line for each doubling, so that a crowd does not fill the log.
+    if refused.is_power_of_two() {
+        log::warn!("event=connections_refused count={refused}");
+    }
+    if shared.rejected.fetch_add(1, Ordering::Relaxed) >= MAX_REJECTED {
+        shared.rejected.fetch_sub(1, Ordering::Relaxed);
+        return;
+    }
+    let shared = shared.clone();
+    let rejected = async move {
+        reject(stream).await;
+        shared.rejected.fetch_sub(1, Ordering::Relaxed);
+    };
+    smol::spawn(rejected).detach();
+}
+
 async fn reject(mut stream: TcpStream) {
     // The peer may have gone; there is nobody else to tell.
     let _ = stream.write_all(UNAVAILABLE).await;
