--- a/crates/cyclamen-dispatch/tests/overload/main.rs
+++ b/crates/cyclamen-dispatch/tests/overload/main.rs
@@ -311,3 +311,15 @@
     let all = records.iter().filter(|record| record.team == 1).count();
     assert!(over_share.count() * 4 <= all);
 }
+
+#[test]
+fn more_demand_than_room_serves_most_in_time() {
+    let kinds = [Kind {
+        demand: |_| 1.2,
+        ..Kind::default()
+    }];
+    let records = played(&kinds, on(), 14);
+    let served = within(&records, 2..12).filter(|record| record.is_served());
+    let in_time = share(served, |record| record.is_in_time(&kinds));
+    assert!(in_time >= 0.75, "in time of those served: {in_time}");
+}
--- a/crates/cyclamen-gateway/src/frontend.rs
+++ b/crates/cyclamen-gateway/src/frontend.rs
@@ -83,7 +83,17 @@
         let owned_domains = owned.filter(|name| !is_service_scope(name)).count();
         let limited_workers = state.limits.count();
         let era = state.era;
+        let shares = state.dispatcher.refused_shares(now);
+        let shares: Vec<_> = shares
+            .map(|(service, model, share)| {
+                let model = model.map_or_else(String::new, ToString::to_string);
+                (service.to_string(), model, share)
+            })
+            .collect();
         drop(state);
+        for (service, model, share) in shares {
+            self.0.metrics.record_refused_share(service, model, share);
+        }
         self.0.metrics.record_targets(&targets);
         self.0.metrics.record_contained_parts(contained);
         self.0.metrics.record_owned_domains(owned_domains);
--- a/crates/cyclamen-gateway/src/metrics.rs
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -37,6 +37,7 @@
     cut_off_services: Gauge<u64>,
     limited_workers: Gauge<u64>,
     held_back: Counter<u64>,
+    refused_share: Gauge<f64>,
     store_era: Gauge<u64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
@@ -71,6 +72,7 @@
             cut_off_services: meter.u64_gauge("cut_off_services").build(),
             held_back: meter.u64_counter("requests_held_back").build(),
             limited_workers: meter.u64_gauge("limited_workers").build(),
+            refused_share: meter.f64_gauge("refused_share").build(),
             store_era: meter.u64_gauge("store_era").build(),
             table_age: meter.f64_gauge("table_age").with_unit("s").build(),
             first_byte: latency_histogram("first_byte"),
@@ -181,6 +183,15 @@
         self.limited_workers.record(count as u64, &[]);
     }
 
+    /// Records what part of the recent requests for a service and model was refused for want of room.
+    pub(crate) fn record_refused_share(&self, service: String, model: String, share: f64) {
+        let labels = [
+            KeyValue::new("service", service),
+            KeyValue::new("model", model),
+        ];
+        self.refused_share.record(share, &labels);
+    }
+
     /// Records the highest era of the store that this entry knows of.
     pub(crate) fn record_store_era(&self, era: Era) {
         self.store_era.record(era.0, &[]);
