--- a/crates/cyclamen-dispatch/src/overload/pool.rs
+++ b/crates/cyclamen-dispatch/src/overload/pool.rs
@@ -26,6 +26,8 @@
 
 /// The part of all slots under which an entry is not kept to its own part of them.
 const AMPLE_OCCUPANCY: f64 = 0.97;
+/// An entry whose part is fewer slots than this has too few requests for it to be known.
+const MIN_ENTRY_SLOTS: f64 = 8.0;
 /// The part of an equal share of the slots that an entry may always use.
 const MIN_ENTRY_SHARE: f64 = 0.5;
 
@@ -114,10 +116,11 @@
         }
         let least = MIN_ENTRY_SHARE / load.entries.max(1) as f64;
         let part = self.part.value(now, window, MIN_MEASURED);
-        if load.all < load.slots * AMPLE_OCCUPANCY {
+        let own_slots = load.slots * part.unwrap_or(1.0).max(least);
+        if load.all < load.slots * AMPLE_OCCUPANCY || own_slots < MIN_ENTRY_SLOTS {
             return load.slots;
         }
-        load.slots * part.unwrap_or(1.0).max(least) + 1.0
+        own_slots + 1.0
     }
 
     fn is_over(&mut self, now: Time, options: &Options, criteria: &Criteria<'_>) -> bool {
