--- a/crates/cyclamen-gateway/src/frontend.rs
+++ b/crates/cyclamen-gateway/src/frontend.rs
@@ -85,10 +85,20 @@
         let limited_workers = state.limits.count();
         let era = state.era;
         let needs = state.group_needs();
+        let shares = state.dispatcher.refused_shares(now);
+        let shares: Vec<_> = shares
+            .map(|(service, model, share)| {
+                let model = model.map_or_else(String::new, ToString::to_string);
+                (service.to_string(), model, share)
+            })
+            .collect();
         drop(state);
         for need in &needs {
             self.0.metrics.record_group_need(need);
         }
+        for (service, model, share) in shares {
+            self.0.metrics.record_refused_share(service, model, share);
+        }
         self.0.metrics.record_targets(&targets);
         self.0.metrics.record_contained_parts(contained);
         self.0.metrics.record_owned_domains(owned_domains);
--- a/crates/cyclamen-gateway/src/metrics.rs
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -38,6 +38,7 @@
     cut_off_services: Gauge<u64>,
     limited_workers: Gauge<u64>,
     held_back: Counter<u64>,
+    refused_share: Gauge<f64>,
     store_era: Gauge<u64>,
     demanded_requests: Gauge<f64>,
     needed_groups: Gauge<f64>,
@@ -75,6 +76,7 @@
             cut_off_services: meter.u64_gauge("cut_off_services").build(),
             held_back: meter.u64_counter("requests_held_back").build(),
             limited_workers: meter.u64_gauge("limited_workers").build(),
+            refused_share: meter.f64_gauge("refused_share").build(),
             store_era: meter.u64_gauge("store_era").build(),
             demanded_requests: meter.f64_gauge("demanded_requests").build(),
             needed_groups: meter.f64_gauge("needed_groups").build(),
@@ -208,6 +210,15 @@
         self.needed_groups.record(need.groups, &labels);
     }
 
+    /// Records what part of the recent requests for a service and model was refused for want of room.
+    pub(crate) fn record_refused_share(&self, service: String, model: String, share: f64) {
+        let labels = [
+            KeyValue::new("service", service),
+            KeyValue::new("model", model),
+        ];
+        self.refused_share.record(share, &labels);
+    }
+
     /// Records the highest era of the store that this entry knows of.
     pub(crate) fn record_store_era(&self, era: Era) {
         self.store_era.record(era.0, &[]);
