--- a/crates/cyclamen-server/src/transport.rs
+++ b/crates/cyclamen-server/src/transport.rs
@@ -131,7 +131,9 @@
                 Poll::Ready(result)
             }
             Poll::Pending => {
-                self.progress.has_waited.store(true, Ordering::Relaxed);
+                if phase.load(Ordering::Relaxed) != REQUEST {
+                    self.progress.has_waited.store(true, Ordering::Relaxed);
+                }
                 let limit = self.read_limit();
                 if self.poll_late(cx, limit) {
                     log::debug!("event=connection_closed reason=\"late request\"");
