gateway: proofs of other entries neither skip deletions nor claim more than is certain

Cause, found by a review of the part: an entry that read a table after a row was deleted never saw the row, so the rows that it told from an earlier position on lacked the deletion for good; a response with changes counted as complete up to 400 ms before it came, although the store may have made it at any moment since the call. Change: an entry proves only positions from its last whole read on, and what is complete at the call. Kinds of requests in admission are told apart by their timeout too, so that a shorter one is no sign of a caller that returns; a model that no worker serves keeps no state; loads for conversions and others share the weight store's limit.

--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -116,7 +116,9 @@
     ) -> Result<Dispatch, Refusal> {
         let mut candidates = self.candidates(now, criteria);
         let mut rejections = Rejections::of(candidates.len());
-        let standing = control.as_mut().map(|control| {
+        // A model that no worker serves has no room to divide; callers may name any.
+        let divided = control.as_mut().filter(|_| !candidates.is_empty());
+        let standing = divided.map(|control| {
             let load = self.pool_load(&candidates);
             control.standing(now, criteria, load, rng.random())
         });
--- a/crates/cyclamen-dispatch/src/overload/kinds.rs
+++ b/crates/cyclamen-dispatch/src/overload/kinds.rs
@@ -17,13 +17,15 @@
 /// to count as refused before.
 const RETURN_MARGIN: Duration = Duration::from_millis(100);
 
-/// Requests of the same priority and goal.
+/// Requests of the same priority, goal and timeout.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Kind {
     /// The priority; zero is the most urgent.
     pub(crate) priority: u8,
     /// The latency goal.
     pub(crate) goal: Duration,
+    /// The longest time that the route lets a request take.
+    pub(crate) timeout: Duration,
 }
 
 #[derive(Debug, Default)]
--- a/crates/cyclamen-dispatch/src/overload/pool.rs
+++ b/crates/cyclamen-dispatch/src/overload/pool.rs
@@ -78,12 +78,12 @@
             Claim::Late
         } else if is_over {
             Claim::OverShare
+        } else if is_below {
+            Claim::Full
         } else if returns.is_some_and(|since| since >= kind.goal) {
             Claim::ReturningLate
         } else if returns.is_some() {
             Claim::Returning(more_urgent)
-        } else if is_below {
-            Claim::Full
         } else {
             Claim::Behind(more_urgent)
         };
@@ -224,6 +224,7 @@
     Kind {
         priority: criteria.priority,
         goal: criteria.goal,
+        timeout: criteria.caller.timeout,
     }
 }
 
--- a/crates/cyclamen-dispatch/src/overload/standing.rs
+++ b/crates/cyclamen-dispatch/src/overload/standing.rs
@@ -89,7 +89,7 @@
         let is_free = running < slots * FREE_OCCUPANCY;
         let kept = (1.0 - part).max(0.0) * self.reserve;
         let places = slots * (1.0 - kept) + self.queue(slots, limit);
-        let has_own = self.own + 1.0 <= self.own_slots * (1.0 - kept);
+        let has_own = self.own == 0.0 || self.own + 1.0 <= self.own_slots * (1.0 - kept);
         has_own && running < places && (is_free || added <= limit * part)
     }
 
--- a/crates/cyclamen-dispatch/src/request.rs
+++ b/crates/cyclamen-dispatch/src/request.rs
@@ -91,6 +91,8 @@
     pub team: Option<&'a team::Name>,
     /// The time since the request arrived.
     pub waited: Duration,
+    /// The longest time that the route lets a request take.
+    pub timeout: Duration,
 }
 
 /// A request that was assigned to a worker.
--- a/crates/cyclamen-dispatch/tests/overload/fleet.rs
+++ b/crates/cyclamen-dispatch/tests/overload/fleet.rs
@@ -277,6 +277,7 @@
             caller: Caller {
                 team: Some(&team),
                 waited: Duration::ZERO,
+                timeout: DEADLINE,
             },
         };
         let entry = self.callers.random_range(0..self.entries.len());
--- a/crates/cyclamen-gateway/src/frontend/call.rs
+++ b/crates/cyclamen-gateway/src/frontend/call.rs
@@ -131,6 +131,7 @@
             caller: Caller {
                 team: self.team.as_ref().map(|team| &team.name),
                 waited: self.waited(now),
+                timeout: self.route.timeout,
             },
         };
         let chosen = state.dispatcher.choose(now, &criteria, &mut state.rng);
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -97,6 +97,9 @@
     /// The latest time at which what is known of each followed table was complete, as proved by the
     /// store or by another entry; empty unless following is shared.
     pub(crate) proved_at: BTreeMap<Table, Time>,
+    /// The revision as of which each followed table was last read as a whole; rows that were deleted
+    /// before are not known.
+    pub(crate) read_as_of: BTreeMap<Table, Revision>,
     /// The calls to the store, and what replaced them.
     pub(crate) store_calls: Calls,
     /// The revision up to which gossip has delivered the operators' rows.
@@ -171,6 +174,7 @@
             answered_at: BTreeMap::new(),
             shares_following: settings.features.shared_following,
             proved_at: BTreeMap::new(),
+            read_as_of: BTreeMap::new(),
             store_calls: Calls::default(),
             operators_gossip_as_of: Revision::default(),
             histories: BTreeMap::new(),
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -71,6 +71,7 @@
     ) {
         let prefix = format!("{}/", table.as_str());
         let era = snapshot.as_of.era;
+        self.read_as_of.insert(table, snapshot.as_of);
         let known = self.rows.rows_with_prefix(&prefix);
         let known = known.filter(|row| table != Table::Operators || row.revision.era == era);
         let known: Vec<Key> = known.map(|row| row.key.clone()).collect();
--- a/crates/cyclamen-gateway/src/platform/poll.rs
+++ b/crates/cyclamen-gateway/src/platform/poll.rs
@@ -29,11 +29,11 @@
     /// Returns the time at which what the response to this poll tells was complete, as far as that is
     /// certain.
     ///
-    /// A poll without changes was held open to the end. One with changes was answered on the way;
-    /// the response then took no longer than is waited for after the hold.
+    /// A poll without changes was held open to the end. One with changes was answered at any moment
+    /// since the call: its response may have been on the way, or unread, for the rest of the time.
     pub fn complete_at(&self, called_at: Time, now: Time, has_changes: bool) -> Time {
         if has_changes {
-            called_at.max(now - ANSWER_TIME)
+            called_at
         } else {
             (called_at + self.hold).min(now)
         }
--- a/crates/cyclamen-gateway/src/tasks/gossip/proofs.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip/proofs.rs
@@ -54,7 +54,10 @@
 /// Returns all rows of a table that changed after a revision, and the row with the proof.
 fn changes(state: &State, now: Time, table: Table, since: Revision) -> Option<Vec<Row>> {
     let proof = state.proof(table)?;
-    let starts = since.era == proof.position.era && state.rows.retains_since(since);
+    // What was deleted before the table was read as a whole is not known here.
+    let read_as_of = state.read_as_of.get(&table)?;
+    let is_retained = since >= *read_as_of && state.rows.retains_since(since);
+    let starts = since.era == proof.position.era && is_retained;
     if !starts || since > proof.position {
         return None;
     }
--- a/crates/cyclamen-replica/src/planner/loads.rs
+++ b/crates/cyclamen-replica/src/planner/loads.rs
@@ -107,9 +107,7 @@
     fn is_within_limits(&self, view: &View<'_>, count: usize, shifting_domains: usize) -> bool {
         let in_rate = self.loads.ordered_at.len().saturating_add(count) <= self.rate_limit(view);
         let in_progress = self.loads_in_progress(view).saturating_add(count);
-        // A conversion needs all of its loads; a few more at once take it less time than a second
-        // round of them.
-        let sharing = view.loading_domains.max(shifting_domains);
+        let sharing = view.loading_domains.saturating_add(shifting_domains);
         in_rate && in_progress <= concurrency_limit(view, sharing)
     }
 
