gateway: settings that are written leave out what earlier builds do not know

Cause: upgrade::entries_of_an_earlier_build_are_replaced_by_this_one failed: the test writes settings for the earlier build, which refuses fields that it does not know. Change: features, the machine and the callers' memory are left out where they have their defaults.

--- a/crates/cyclamen-gateway/src/settings.rs
+++ b/crates/cyclamen-gateway/src/settings.rs
@@ -42,7 +42,9 @@
     #[serde(default)]
     pub retries: Retries,
     /// The parts of the gateway that are off unless they are asked for.
-    #[serde(default)]
+    ///
+    /// Settings that are written leave it out if all are off: earlier builds do not know it.
+    #[serde(default, skip_serializing_if = "is_default")]
     pub features: Features,
     /// The memory that the bodies of responses and incomplete events of streams share, in MiB.
     ///
@@ -55,10 +57,10 @@
     ///
     /// When it is short, requests that do not come on are refused first, then those that begin. A request that
     /// is alone is always taken.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub caller_memory_mib: Option<u32>,
     /// What the machine allows this process.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub machine: Machine,
 }
 
@@ -84,6 +86,10 @@
 /// Room for four bodies of the maximum size; buffers that grow may take twice as much.
 const DEFAULT_RESPONSE_MEMORY_MIB: u32 = 32;
 
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 fn default_response_memory() -> u32 {
     DEFAULT_RESPONSE_MEMORY_MIB
 }
