dispatch: admission under overload acts in fleets of more than nine entries

Change: a dispatcher is told the number of entries; up to nine, each knows the loads of all, and decides as without admission. Tests: a_small_fleet_refuses_no_more_than_before.

--- a/crates/cyclamen-dispatch/src/dispatcher.rs
+++ b/crates/cyclamen-dispatch/src/dispatcher.rs
@@ -46,6 +46,8 @@
     permits: Permits,
     /// Admission under overload, if it is on.
     overload: Option<Control>,
+    /// The number of entries of the fleet; the largest one until it is known.
+    entries: usize,
     /// The separation of long and short prompts, if it is on.
     split: Option<Split>,
 }
@@ -61,6 +63,7 @@
             pauses: Pauses::default(),
             permits: Permits::default(),
             overload: options.overload.map(Control::new),
+            entries: usize::MAX,
             split: options.split.map(Split::new),
         }
     }
@@ -89,6 +92,11 @@
         self.resting = before;
     }
 
+    /// Sets the number of entries that share the workers, this one included.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.entries = entries;
+    }
+
     /// Chooses a worker and counts the request on it.
     pub fn choose(
         &mut self,
@@ -99,7 +107,8 @@
         self.peers.expire(now, self.options.peer_load_ttl);
         self.record_size(now, criteria);
         let mut control = self.overload.take();
-        let chosen = self.choose_with(now, criteria, control.as_mut(), rng);
+        let needed = control.as_mut().filter(|c| c.is_needed(self.entries));
+        let chosen = self.choose_with(now, criteria, needed, rng);
         self.overload = control;
         let dispatch = chosen?;
         self.record_sent(now, &dispatch);
--- a/crates/cyclamen-dispatch/src/overload.rs
+++ b/crates/cyclamen-dispatch/src/overload.rs
@@ -39,6 +39,9 @@
     pub floor: f64,
     /// The part of the room that is left for returning callers at the usual demand.
     pub spare: f64,
+    /// The number of entries up to which each is told the loads of all others at short intervals, so
+    /// that the bound on waits keeps queues short enough and nothing more has to be refused.
+    pub small_fleet: usize,
 }
 
 impl Default for Options {
@@ -49,6 +52,7 @@
             reserve: 0.25,
             floor: 0.4,
             spare: 0.2,
+            small_fleet: 9,
         }
     }
 }
@@ -70,6 +74,11 @@
         }
     }
 
+    /// Returns whether a fleet of so many entries needs it.
+    pub(crate) fn is_needed(&self, entries: usize) -> bool {
+        entries > self.options.small_fleet
+    }
+
     fn pool(&mut self, criteria: &Criteria<'_>) -> &mut Pool {
         let key = (criteria.service.clone(), criteria.model.cloned());
         self.pools.entry(key).or_default()
--- a/crates/cyclamen-dispatch/tests/overload/fleet.rs
+++ b/crates/cyclamen-dispatch/tests/overload/fleet.rs
@@ -182,6 +182,13 @@
         }
     }
 
+    /// Tells the entries how many they are.
+    pub fn set_entries(&mut self, count: usize) {
+        for entry in &mut self.entries {
+            entry.set_entries(count);
+        }
+    }
+
     /// Runs for some seconds and returns what became of all callers.
     pub fn run(&mut self, seconds: u64) -> Vec<Record> {
         for millis in 0..seconds * 1_000 {
--- a/crates/cyclamen-dispatch/tests/overload/main.rs
+++ b/crates/cyclamen-dispatch/tests/overload/main.rs
@@ -42,6 +42,25 @@
     records.iter().filter(is_within)
 }
 
+/// A small fleet knows all loads, and decides as without admission under overload.
+#[test]
+fn a_small_fleet_refuses_no_more_than_before() {
+    let played = |options| {
+        let kinds = vec![Kind {
+            demand: burst,
+            ..Kind::default()
+        }];
+        let mut fleet = Fleet::new(6, 8, kinds, options, SEED);
+        fleet.set_entries(6);
+        let records = fleet.run(10);
+        records
+            .iter()
+            .filter(|record| !record.refused.is_empty())
+            .count()
+    };
+    assert_eq!(played(on()), played(Options::default()));
+}
+
 fn burst(now: Time) -> f64 {
     if (5..8).contains(&second(now)) {
         1.8
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -252,6 +252,8 @@
             .filter_map(|instance| instance.domain.clone())
             .collect();
         self.cell = cell(&self.local.entry, &entries, &domains);
+        let entries = self.entry_count();
+        self.dispatcher.set_entries(entries);
     }
 
     /// Returns the number of entries that this one knows, itself included.
