--- a/crates/cyclamen-dispatch/src/overload.rs
+++ b/crates/cyclamen-dispatch/src/overload.rs
@@ -39,8 +39,8 @@
     pub floor: f64,
     /// The part of the room that is left for returning callers at the usual demand.
     pub spare: f64,
-    /// The number of entries up to which each is told the loads of all others at short intervals, so
-    /// that the bound on waits keeps queues short enough and nothing more has to be refused.
+    /// The number of entries up to which each receives the loads of all others at short intervals; the
+    /// bound on waits then keeps queues short enough, and nothing more has to be refused.
     pub small_fleet: usize,
 }
 
--- a/crates/cyclamen-dispatch/src/overload/shares.rs
+++ b/crates/cyclamen-dispatch/src/overload/shares.rs
@@ -41,7 +41,7 @@
     refused: Sum,
 }
 
-/// The work of a team over the entries that are heard of.
+/// The work of a team at this entry and at those that report theirs.
 #[derive(Debug, Clone, Copy, Default)]
 struct Total {
     admitted: f64,
--- a/crates/cyclamen-replica/src/planner/conversion.rs
+++ b/crates/cyclamen-replica/src/planner/conversion.rs
@@ -18,10 +18,10 @@
 /// The time in which closed groups have to end; the planner then leaves them to themselves.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// The time after a conversion in which what the planner is told may not yet follow from it.
+/// The time after a conversion in which the given needs may not account for it yet.
 const MIN_INTERVAL: Duration = Duration::from_secs(5);
 
-/// What a planner is told of the needs of the fleet.
+/// The needs of the fleet, as a planner is given them.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Direction {
     /// The shares by which free workers are divided; `None` for those of the configuration.
