--- a/crates/cyclamen-server/src/connection.rs
+++ b/crates/cyclamen-server/src/connection.rs
@@ -43,7 +43,7 @@
     // Shut down once this connection is to close after the current response, at the latest with the
     // server.
     let last = shared.closing.child();
-    match respond(&shared, &stream, &last, handler).await {
+    match Box::pin(respond(&shared, &stream, &last, handler)).await {
         // On the heap, so that connections don't hold its buffer all the time.
         End::Closed => Box::pin(or(linger(&stream, MAX_LINGER), closed(&shared))).await,
         End::Broken => reset(&stream),
@@ -92,7 +92,8 @@
                 yield_now().await;
             }
             let conn = Conn::from(conn).with_state(peer);
-            let conn = handler.run(conn).await;
+            // On the heap: handlers are large, and each poll of the connection is below them on the stack.
+            let conn = Box::pin(handler.run(conn)).await;
             let conn = handler.before_send(conn).await;
             let mut conn = conn.into_inner::<Transport>();
             // What is left of a body would be read as the next request.
