--- a/crates/cyclamen-gateway/tests/share.rs
+++ b/crates/cyclamen-gateway/tests/share.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// What an entry knows that asks the store, and is told by others, at random.
+/// An entry that asks the store, and receives proofs of others, at random.
 struct Follower {
     schedule: Schedule,
     options: Options,
--- a/crates/cyclamen-replica/tests/replica/simulation.rs
+++ b/crates/cyclamen-replica/tests/replica/simulation.rs
@@ -121,7 +121,7 @@
     pub loading_domains: usize,
     /// The number of groups of each model in other domains.
     pub remote_groups: GroupCounts,
-    /// What the planner is told of the needs of the fleet.
+    /// The needs of the fleet, as the planner is given them.
     pub direction: Direction,
     /// How orders are delivered.
     pub delivery: Delivery,
