--- a/review/bed-2/case_keys.rs
+++ b/review/bed-2/case_keys.rs
@@ -7,45 +7,21 @@
 
 use crate::client::{Request, exchange};
 use crate::gateway::Gateway;
+use crate::site::{self, configuration};
 use crate::store::Store;
 use crate::worker::{Worker, sound};
 use crate::{Setting, Verdict};
 
-/// The bounds of the deployment, as on the users' first sheets, in milliseconds.
-const CONFIG_MS: u64 = 2_000;
-const DRAIN_MS: u64 = 2_000;
 /// The time between two keys that are taken away.
 const GAP: Duration = Duration::from_millis(1_500);
-/// What is waited beyond `CONFIG_MS` before requests count.
+/// What is waited beyond `config_ms` before requests count.
 const MARGIN: Duration = Duration::from_millis(1_000);
 
-const FIRST_KEY: &str = "n2ctnfzs989anu6wsjnb";
+const FIRST_KEY: &str = site::KEY;
 const SECOND_KEY: &str = "anfqasnmgkcuyj8pjbvk";
 /// A key that no configuration holds.
 const UNKNOWN_KEY: &str = "zzzzzzzzzzzzzzzzzzzz";
 
-fn configuration(version: u64, keys: &[&str]) -> String {
-    let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
-    let route = |name: &str, prefix: &str, kind: &str, attempts: u32| {
-        format!(
-            "{{\"name\":\"{name}\",\"host\":\"herd.example\",\"prefix\":\"{prefix}\",\
-             \"route_type\":\"{kind}\",\"timeout_ms\":1500,\"latency_goal_ms\":100,\"priority\":2,\
-             \"service\":\"registry-app\",\"attempts\":{attempts},\"anonymous\":false,\"sticky\":false,\
-             \"resumable\":false}}"
-        )
-    };
-    format!(
-        "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{{\"name\":\"registry-app\",\
-         \"health_path\":\"/healthz\",\"max_conns\":96,\"protocol\":\"h1\",\"tls\":false,\
-         \"cold_start_s\":0.0,\"cold_per_s\":0.0}}],\"limits\":{{\"max_header_bytes\":16384,\
-         \"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
-         \"tenants\":[{{\"name\":\"vets\",\"api_keys\":[{}],\"priority\":1}}]}}",
-        route("r-entry", "/entry/", "non_idempotent", 1),
-        route("r-lookup", "/lookup/", "idempotent", 2),
-        keys.join(",")
-    )
-}
-
 struct Site<'a> {
     setting: &'a Setting,
     gateways: Vec<Gateway>,
@@ -72,7 +48,10 @@
             let answer = answer.map_or_else(|e| e.to_string(), |answer| answer.line);
             let runs = self.workers.iter().flat_map(Worker::runs);
             let runs: Vec<_> = runs.filter(|run| run.id == id).collect();
-            let tenants: Vec<_> = runs.iter().map(|run| run.request.header("x-tenant")).collect();
+            let tenants: Vec<_> = runs
+                .iter()
+                .map(|run| run.request.header("x-tenant"))
+                .collect();
             self.setting.record.line(format!(
                 "{what}: sent {id} to {} with key {key:?}; answered {answer:?}; ran {} times, X-Tenant {tenants:?}",
                 gateway.name,
@@ -89,11 +68,16 @@
     let store = Store::start();
     store.put("op", "config", &configuration(1, &[FIRST_KEY, SECOND_KEY]));
     let worker = |id: &str| Worker::start(&store, id, "registry-app", std::sync::Arc::new(sound));
-    let workers = ["i-0000000a", "i-0000000b", "i-0000000c"].map(worker).into();
-    let gateway = |name: &str| Gateway::new(&setting.scratch, name, store.address, (CONFIG_MS, DRAIN_MS));
+    let workers = ["i-0000000a", "i-0000000b", "i-0000000c"]
+        .map(worker)
+        .into();
+    let gateway = |name: &str| Gateway::new(&setting.scratch, name, store.address, site::BOUNDS);
     let mut gateways: Vec<Gateway> = ["edge-1", "edge-2"].map(gateway).into();
     gateways.iter_mut().for_each(Gateway::start);
-    if !gateways.iter().all(|g| g.wait_ready(Duration::from_secs(15))) {
+    if !gateways
+        .iter()
+        .all(|g| g.wait_ready(Duration::from_secs(15)))
+    {
         record.line("the gateways are not ready");
         return Verdict::Unclear;
     }
@@ -123,7 +107,7 @@
         acknowledged = store.put("op", "config", &configuration(3, &[]));
         record.line("version 3 acknowledged: the second key is taken away, the tenant holds none");
     }
-    let due = acknowledged + Duration::from_millis(CONFIG_MS) + MARGIN;
+    let due = acknowledged + Duration::from_millis(site::BOUNDS.0) + MARGIN;
     std::thread::sleep(due.saturating_duration_since(Instant::now()));
     let (mut dropped, mut unknown, mut without) = (0, 0, 0);
     for _ in 0..5 {
@@ -138,7 +122,11 @@
         without += site.try_key("after", None);
         std::thread::sleep(Duration::from_millis(500));
     }
-    if site.gateways.iter_mut().any(|gateway| !gateway.is_running()) {
+    if site
+        .gateways
+        .iter_mut()
+        .any(|gateway| !gateway.is_running())
+    {
         record.line("a gateway has ended");
         return Verdict::Unclear;
     }
--- a/review/bed-2/gateway.rs
+++ b/review/bed-2/gateway.rs
@@ -53,8 +53,13 @@
             ("{{bounds.config_ms|json}}", bounds.0.to_string()),
             ("{{bounds.drain_ms|json}}", bounds.1.to_string()),
         ];
-        let settings = fields.iter().fold(template, |text, (field, value)| text.replace(field, value));
-        assert!(!settings.contains("{{"), "a field of the template is not known");
+        let settings = fields
+            .iter()
+            .fold(template, |text, (field, value)| text.replace(field, value));
+        assert!(
+            !settings.contains("{{"),
+            "a field of the template is not known"
+        );
         let file = folder.join(format!("{name}.json"));
         std::fs::write(&file, settings).expect("settings");
         Self {
@@ -69,7 +74,10 @@
 
     /// Starts the process; it ends with this one at the latest.
     pub fn start(&mut self) {
-        let log = std::fs::File::options().create(true).append(true).open(&self.log);
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log);
         let log = log.expect("a log");
         let mut command = Command::new("target/release/cyclamenpath");
         command
--- a/review/bed-2/http.rs
+++ b/review/bed-2/http.rs
@@ -103,7 +103,9 @@
     pub fn message(&mut self, is_response: bool) -> io::Result<Message> {
         let mut message = self.head()?;
         let is_chunked = message.header("transfer-encoding").is_some();
-        let len = message.header("content-length").and_then(|l| l.parse().ok());
+        let len = message
+            .header("content-length")
+            .and_then(|l| l.parse().ok());
         message.body = if is_chunked {
             let mut body = Vec::new();
             loop {
--- a/review/bed-2/main.rs
+++ b/review/bed-2/main.rs
@@ -4,11 +4,13 @@
 //! the environment, it does the same without the disruption.
 
 mod case_keys;
+mod case_stamp;
 mod client;
 mod gateway;
 mod http;
 mod json;
 mod record;
+mod site;
 mod store;
 mod worker;
 
@@ -59,9 +61,12 @@
     };
     let verdict = match case.as_str() {
         "keys" => case_keys::run(&setting),
+        "stamp" => case_stamp::run(&setting),
         _ => Verdict::Unclear,
     };
-    setting.record.line(format!("trouble={} verdict: {verdict:?}", setting.trouble));
+    setting
+        .record
+        .line(format!("trouble={} verdict: {verdict:?}", setting.trouble));
     if std::env::var("KEEP").is_err() {
         let _ = std::fs::remove_dir_all(&scratch);
     }
--- a/review/bed-2/store.rs
+++ b/review/bed-2/store.rs
@@ -101,9 +101,10 @@
 
     fn get(&self, table: &str, from: &str) -> (u16, String) {
         let rows = self.rows.0.lock().unwrap();
-        let of_table = rows.rows.iter().filter(|((t, key), (_, value))| {
-            t == table && key.as_str() >= from && value.is_some()
-        });
+        let of_table = rows
+            .rows
+            .iter()
+            .filter(|((t, key), (_, value))| t == table && key.as_str() >= from && value.is_some());
         let listed: Vec<String> = of_table.map(|((t, k), row)| row_text(t, k, row)).collect();
         (200, self.rows_text(&listed, rows.version))
     }
@@ -135,7 +136,12 @@
         };
         let (rows, changed) = &*self.rows;
         let mut rows = rows.lock().unwrap();
-        let id = |item: &Json| (item.get("table").text().into(), item.get("key").text().into());
+        let id = |item: &Json| {
+            (
+                item.get("table").text().into(),
+                item.get("key").text().into(),
+            )
+        };
         let holds = body.get("precondition").list().iter().all(|item| {
             let row = rows.rows.get(&id(item));
             let version = row.map_or(0, |(version, value)| match value {
@@ -157,7 +163,10 @@
             rows.rows.insert(id(item), (version, None));
         }
         changed.notify_all();
-        (200, format!("{{\"ver\":{version},\"now_ms\":{}}}", self.now_ms()))
+        (
+            200,
+            format!("{{\"ver\":{version},\"now_ms\":{}}}", self.now_ms()),
+        )
     }
 
     fn rows_text(&self, rows: &[String], version: u64) -> String {
--- a/review/bed-2/worker.rs
+++ b/review/bed-2/worker.rs
@@ -113,7 +113,10 @@
 /// The answer of a sound worker: the caller's id, the worker's stamp and a whole body.
 pub fn sound(worker: &Worker, request: &Message, stream: &mut TcpStream) -> bool {
     let id = request.header("x-attempt-id").unwrap_or("");
-    let head = format!("X-Attempt-Id: {id}\r\nX-Server-Stamp: {}\r\n", stamp(worker, id));
+    let head = format!(
+        "X-Attempt-Id: {id}\r\nX-Server-Stamp: {}\r\n",
+        stamp(worker, id)
+    );
     respond(stream, 200, &head, &body(worker, id))
 }
 
