review/8: a stream whose worker crashes between two events ends as complete

Cause: without a length or chunks, each end of the connection that doesn't fall into an event is taken for the end of the stream; nothing asks whether the worker still lives or whether there is more.

Run: review/8/run.sh five times and once with TROUBLE=0.

--- a/review/bed-2/gateway.rs
+++ b/review/bed-2/gateway.rs
@@ -17,6 +17,12 @@
     fn prctl(option: i32, argument: u64, ...) -> i32;
 }
 
+/// Makes a process that is being started end with the one that starts it.
+pub fn die_with_parent() -> std::io::Result<()> {
+    unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64) };
+    Ok(())
+}
+
 /// A gateway.
 pub struct Gateway {
     pub name: String,
@@ -88,12 +94,7 @@
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("a log"))
             .stderr(log);
-        unsafe {
-            command.pre_exec(|| {
-                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
-                Ok(())
-            });
-        }
+        unsafe { command.pre_exec(die_with_parent) };
         self.child = Some(command.spawn().expect("the gateway starts"));
     }
 
--- a/review/bed-2/main.rs
+++ b/review/bed-2/main.rs
@@ -3,6 +3,7 @@
 //! A case exits with 1 if its rule was broken, 0 if it held, and 2 if it could not run. With `TROUBLE=0` in
 //! the environment, it does the same without the disruption.
 
+mod case_crash;
 mod case_keys;
 mod case_stamp;
 mod client;
@@ -46,6 +47,9 @@
         eprintln!("bed CASE FOLDER");
         std::process::exit(2);
     };
+    if case == "stream-worker" {
+        case_crash::serve(folder);
+    }
     std::thread::spawn(|| {
         std::thread::sleep(LIMIT);
         eprintln!("the case took too long");
@@ -60,6 +64,7 @@
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let verdict = match case.as_str() {
+        "crash" => case_crash::run(&setting),
         "keys" => case_keys::run(&setting),
         "stamp" => case_stamp::run(&setting),
         _ => Verdict::Unclear,
