--- a/review/bed-2/case_stamp.rs
+++ b/review/bed-2/case_stamp.rs
@@ -97,6 +97,10 @@
         let ran: Vec<&Worker> = ran.collect();
         if ran.iter().any(|w| is_of(w)) {
             whole += 1;
+            record.line(format!(
+                "{id}: run by {}, whole, by {}",
+                ran[0].id, gateway.name
+            ));
             continue;
         }
         wrong += 1;
--- a/review/bed-2/main.rs
+++ b/review/bed-2/main.rs
@@ -5,6 +5,8 @@
 
 mod case_crash;
 mod case_keys;
+mod case_long;
+mod case_part;
 mod case_stamp;
 mod client;
 mod gateway;
@@ -16,6 +18,7 @@
 mod worker;
 
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::Duration;
 
 use record::Record;
@@ -34,7 +37,7 @@
 
 /// What a case is given.
 pub struct Setting {
-    pub record: Record,
+    pub record: Arc<Record>,
     /// A folder for settings and logs of processes, which is removed at the end.
     pub scratch: PathBuf,
     /// Whether the disruption comes.
@@ -47,8 +50,10 @@
         eprintln!("bed CASE FOLDER");
         std::process::exit(2);
     };
-    if case == "stream-worker" {
-        case_crash::serve(folder);
+    match case.as_str() {
+        "stream-worker" => case_crash::serve(folder),
+        "part-worker" => case_part::serve(folder),
+        _ => {}
     }
     std::thread::spawn(|| {
         std::thread::sleep(LIMIT);
@@ -59,13 +64,15 @@
     let scratch = std::env::temp_dir().join(format!("cyclamen-review-{}", std::process::id()));
     std::fs::create_dir_all(&scratch).expect("a temporary folder");
     let setting = Setting {
-        record: Record::create(Path::new(folder)),
+        record: Arc::new(Record::create(Path::new(folder))),
         scratch: scratch.clone(),
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let verdict = match case.as_str() {
         "crash" => case_crash::run(&setting),
         "keys" => case_keys::run(&setting),
+        "long" => case_long::run(&setting),
+        "part" => case_part::run(&setting),
         "stamp" => case_stamp::run(&setting),
         _ => Verdict::Unclear,
     };
