review/7: a client that sends requests ahead takes the process over its memory

Cause: while a request runs, whatever its client sends is read into the connection's buffer without a limit, outside the bounds on what requests hold.

--- a/review/bed-2/gateway.rs
+++ b/review/bed-2/gateway.rs
@@ -140,6 +140,15 @@
         TcpStream::connect_timeout(&self.front, Duration::from_millis(300)).is_ok()
     }
 
+    /// Returns the resident memory of the process, in kB.
+    pub fn resident_kb(&self) -> u64 {
+        let pid = self.child.as_ref().map_or(0, Child::id);
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        kb.unwrap_or(0)
+    }
+
     /// Kills the process.
     pub fn end(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/bed-2/main.rs
+++ b/review/bed-2/main.rs
@@ -3,11 +3,11 @@
 //! A case exits with 1 if its rule was broken, 0 if it held, and 2 if it could not run. With `TROUBLE=0` in
 //! the environment, it does the same without the disruption.
 
+mod case_ahead;
 mod case_crash;
 mod case_keys;
 mod case_long;
 mod case_part;
-mod case_stamp;
 mod client;
 mod gateway;
 mod http;
@@ -69,11 +69,11 @@
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let verdict = match case.as_str() {
+        "ahead" => case_ahead::run(&setting),
         "crash" => case_crash::run(&setting),
         "keys" => case_keys::run(&setting),
         "long" => case_long::run(&setting),
         "part" => case_part::run(&setting),
-        "stamp" => case_stamp::run(&setting),
         _ => Verdict::Unclear,
     };
     setting
