gateway: probes by cause, gossip traffic, timer delays and callers that leave are logged and counted

Nothing told apart whether work goes on after its caller has left because the close is seen late, because it is delayed by repair traffic, or because work is sent too late. Now event=activity reports each ten seconds the probes of each cause and how many of them failed, the bytes exchanged with other entries and the longest delay of a timer (metrics probes_total, timer_delay), and event=caller_left says how long the close of a caller was known before its attempts were cancelled. No decision changes.

--- a/crates/cyclamen-entry/src/caller/completion/delivery.rs
+++ b/crates/cyclamen-entry/src/caller/completion/delivery.rs
@@ -121,7 +121,9 @@
 /// Fails once the caller has left.
 async fn left(caller: Option<&Peer>) -> Result<Chunk, Refusal> {
     match caller {
-        Some(peer) => peer.left().await,
+        Some(peer) => {
+            peer.left().await;
+        }
         None => pending().await,
     }
     Err(caller_gone())
--- a/crates/cyclamen-gateway/src/frontend/stream.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream.rs
@@ -6,6 +6,7 @@
 mod sequence;
 
 use std::io;
+use std::time::Duration;
 
 use cyclamen_server::Peer;
 use futures::{TryStreamExt, stream};
@@ -63,10 +64,13 @@
         }
     }
 
-    /// Waits until the caller has left.
-    async fn left(&self) {
+    /// Waits until the caller has left; returns how long ago it was seen to have closed its connection.
+    async fn left(&self) -> Duration {
         match &self.peer {
-            Some(peer) if self.is_entry => peer.closed().await,
+            Some(peer) if self.is_entry => {
+                peer.closed().await;
+                Duration::ZERO
+            }
             Some(peer) => peer.left().await,
             None => pending().await,
         }
@@ -83,7 +87,10 @@
 ) -> io::Result<Option<(Vec<u8>, BodyState)>> {
     let part = match read_ahead {
         Some(part) => part,
-        None => or(next(&mut relay), left(&caller)).await?,
+        None => {
+            let id = relay.request.call.id.clone();
+            or(next(&mut relay), left(&caller, &id)).await?
+        }
     };
     match part {
         Part::Events { bytes, .. } => Ok(Some((bytes, (relay, caller, None)))),
@@ -103,7 +110,8 @@
 }
 
 /// Fails once the caller has left.
-async fn left(caller: &Caller) -> io::Result<Part> {
-    caller.left().await;
+async fn left(caller: &Caller, id: &str) -> io::Result<Part> {
+    let known = caller.left().await;
+    log::info!("event=caller_left id={id} known_ms={}", known.as_millis());
     Err(io::ErrorKind::ConnectionAborted.into())
 }
--- a/crates/cyclamen-gateway/src/metrics.rs
+++ b/crates/cyclamen-gateway/src/metrics.rs
@@ -8,7 +8,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 
-use crate::node::{GroupNeed, TargetCount};
+use crate::node::{GroupNeed, ProbeCause, TargetCount};
 use crate::platform::Table;
 
 const SCOPE_NAME: &str = "cyclamenpath";
@@ -27,6 +27,8 @@
     orders: Counter<u64>,
     store_calls: Counter<u64>,
     table_proofs: Counter<u64>,
+    probes: Counter<u64>,
+    timer_delay: Histogram<f64>,
     crashes: Counter<u64>,
     handovers: Counter<u64>,
     served_handovers: Counter<u64>,
@@ -66,6 +68,8 @@
             orders: meter.u64_counter("orders").build(),
             store_calls: meter.u64_counter("store_calls").build(),
             table_proofs: meter.u64_counter("table_proofs").build(),
+            probes: meter.u64_counter("probes").build(),
+            timer_delay: latency_histogram("timer_delay"),
             crashes: meter.u64_counter("worker_crashes").build(),
             handovers: meter.u64_counter("handovers").build(),
             served_handovers: meter.u64_counter("served_handovers").build(),
@@ -133,6 +137,20 @@
         self.table_proofs.add(1, &labels);
     }
 
+    /// Counts a probe of a worker.
+    pub(crate) fn record_probe(&self, cause: ProbeCause, responds: bool) {
+        let labels = [
+            KeyValue::new("cause", cause.as_str()),
+            KeyValue::new("responds", responds),
+        ];
+        self.probes.add(1, &labels);
+    }
+
+    /// Records how much later than it was due a timer ran.
+    pub(crate) fn record_timer_delay(&self, delay: Duration) {
+        self.timer_delay.record(delay.as_secs_f64(), &[]);
+    }
+
     /// Counts a worker that crashed before any part of its response could be forwarded.
     pub(crate) fn record_crash(&self) {
         self.crashes.add(1, &[]);
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! The node: the state of this entry, and its clients for calls to others.
 
+mod activity;
 mod calls;
 mod containment;
 mod demand;
@@ -33,6 +34,7 @@
 use crate::platform::Platform;
 use crate::settings::Settings;
 
+pub(crate) use activity::ProbeCause;
 pub(crate) use demand::GroupNeed;
 pub(crate) use limits::LimitSource;
 pub(crate) use ownership::OwnerRow;
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -21,6 +21,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::node::activity::Activity;
 use crate::node::calls::Calls;
 use crate::node::demand::Following;
 use crate::node::era::Recovery;
@@ -102,6 +103,10 @@
     pub(crate) read_as_of: BTreeMap<Table, Revision>,
     /// The calls to the store, and what replaced them.
     pub(crate) store_calls: Calls,
+    /// What this entry did since the last report, besides serving requests.
+    pub(crate) activity: Activity,
+    /// The bytes exchanged with other entries up to the last report.
+    pub(crate) gossip_bytes: u64,
     /// The revision up to which gossip has delivered the operators' rows.
     pub(crate) operators_gossip_as_of: Revision,
     /// The times at which each followed table reached its recent revisions.
@@ -176,6 +181,8 @@
             proved_at: BTreeMap::new(),
             read_as_of: BTreeMap::new(),
             store_calls: Calls::default(),
+            activity: Activity::default(),
+            gossip_bytes: 0,
             operators_gossip_as_of: Revision::default(),
             histories: BTreeMap::new(),
             odd_rows: OddRows::default(),
--- a/crates/cyclamen-gateway/src/tasks.rs
+++ b/crates/cyclamen-gateway/src/tasks.rs
@@ -1,5 +1,6 @@
 //! Tasks that keep the node's state up to date.
 
+mod activity;
 mod crash;
 mod evidence;
 mod follow;
@@ -40,8 +41,8 @@
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(100);
 /// The interval at which the evidence in the store is compared with the contained parts.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(500);
-/// The interval at which the calls to the store are logged.
-const CALLS_REPORT_INTERVAL: Duration = Duration::from_secs(10);
+/// The interval at which the calls to the store and other activity are logged.
+const REPORT_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Starts all tasks; dropping the returned handles cancels them.
 pub(crate) fn start(node: &Arc<Node>) -> Vec<smol::Task<()>> {
@@ -53,7 +54,9 @@
         every!(node, OWNERSHIP_CHECK_INTERVAL, ownership::give_up),
         every!(node, EXPIRY_INTERVAL, expire),
         every!(node, EVIDENCE_INTERVAL, evidence::step),
-        every!(node, CALLS_REPORT_INTERVAL, store::report),
+        every!(node, REPORT_INTERVAL, store::report),
+        every!(node, REPORT_INTERVAL, activity::report),
+        every!(node, Duration::ZERO, activity::measure_timers),
         every!(node, EXPIRY_INTERVAL, limits::confirm),
         every!(node, OBSERVE_INTERVAL, observe::step),
         every!(
--- a/crates/cyclamen-gateway/src/tasks/crash.rs
+++ b/crates/cyclamen-gateway/src/tasks/crash.rs
@@ -8,7 +8,7 @@
 use cyclamen_route::containment::{Crash, Fingerprint, Part, Strike};
 use cyclamen_types::group::Fence;
 
-use crate::node::Node;
+use crate::node::{Node, ProbeCause};
 use crate::tasks::gossip_now;
 use crate::tasks::probe::{INITIAL_PROBES, responds};
 
@@ -37,7 +37,8 @@
             instance: target.instance.clone(),
             incarnation: target.incarnation,
         };
-        let responds = responds(&node, &worker, target.address, INITIAL_PROBES).await;
+        let worker = (&worker, target.address);
+        let responds = responds(&node, worker, ProbeCause::Crash, INITIAL_PROBES).await;
         log(&target, &suspect, responds);
         if responds {
             return;
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -10,7 +10,7 @@
 use cyclamen_types::{Time, entry};
 use rand::seq::IteratorRandom;
 
-use crate::node::{FOLLOWED_TABLES, Knowledge, Node, Source};
+use crate::node::{FOLLOWED_TABLES, Knowledge, Node, ProbeCause, Source};
 use crate::platform::{Row, Subject, Table};
 use crate::settings::millis;
 use crate::tasks::observe;
@@ -248,7 +248,7 @@
     let to_probe = state.record_suspicions(now, &sender, received.suspected, received.reached);
     drop(state);
     for worker in to_probe {
-        probe_worker(node, worker, INITIAL_PROBES);
+        probe_worker(node, worker, ProbeCause::Report, INITIAL_PROBES);
     }
     if has_rows || left {
         node.wake_planner();
--- a/crates/cyclamen-gateway/src/tasks/limits.rs
+++ b/crates/cyclamen-gateway/src/tasks/limits.rs
@@ -7,9 +7,9 @@
 use cyclamen_replica::Start;
 use cyclamen_types::Time;
 
-use crate::node::{LimitSource, Node, State};
+use crate::node::{LimitSource, Node, ProbeCause, State};
 use crate::settings::millis;
-use crate::tasks::record_notices;
+use crate::tasks::{probe, record_notices};
 
 /// The minimum interval between two such probes of a worker.
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
@@ -49,6 +49,7 @@
     let timeout = millis(node.settings.timing.report_timeout_ms);
     let sent_at = node.now();
     let response = node.platform.probe(worker.address, timeout).await;
+    probe::record(&node, ProbeCause::Limit, response.result);
     if let Some(notices) = response.notices {
         let start = Start::from(worker.as_ref());
         record_notices(&node, &start, sent_at, notices, LimitSource::Probe);
--- a/crates/cyclamen-gateway/src/tasks/paths.rs
+++ b/crates/cyclamen-gateway/src/tasks/paths.rs
@@ -5,7 +5,7 @@
 use cyclamen_directory::Instance;
 use cyclamen_replica::Start;
 
-use crate::node::{Node, State};
+use crate::node::{Node, ProbeCause, State};
 use crate::tasks::probe::{INITIAL_PROBES, REPEAT_PROBES, probe, probe_worker, suspect};
 
 /// The maximum number of workers that are probed at once when the path to them is back.
@@ -28,7 +28,7 @@
     for (worker, probes) in workers_to_probe(node) {
         let node = node.clone();
         let checking = async move {
-            if !probe(&node, &worker, probes).await {
+            if !probe(&node, &worker, ProbeCause::Path, probes).await {
                 record_failed_check(&node, &worker);
             }
         };
@@ -89,6 +89,6 @@
         state.failed_workers(service, limit)
     };
     for worker in failed {
-        probe_worker(node, worker, REPEAT_PROBES);
+        probe_worker(node, worker, ProbeCause::PathBack, REPEAT_PROBES);
     }
 }
--- a/crates/cyclamen-gateway/src/tasks/plan.rs
+++ b/crates/cyclamen-gateway/src/tasks/plan.rs
@@ -11,7 +11,7 @@
 use smol::Timer;
 use smol::future::or;
 
-use crate::node::{LimitSource, Node, State};
+use crate::node::{LimitSource, Node, ProbeCause, State};
 use crate::settings::millis;
 use crate::tasks::probe::{INITIAL_PROBES, probe_worker};
 use crate::tasks::{ownership, record_notices};
@@ -174,7 +174,9 @@
     }
     match outcome {
         Outcome::Accepted => {}
-        Outcome::Unreachable | Outcome::Lost => probe_worker(&node, worker, INITIAL_PROBES),
+        Outcome::Unreachable | Outcome::Lost => {
+            probe_worker(&node, worker, ProbeCause::Order, INITIAL_PROBES);
+        }
         Outcome::Unfitting | Outcome::Fenced | Outcome::Misdirected | Outcome::Refused(_) => {
             node.wake_planner();
         }
--- a/crates/cyclamen-gateway/src/tasks/probe.rs
+++ b/crates/cyclamen-gateway/src/tasks/probe.rs
@@ -9,7 +9,7 @@
 use cyclamen_replica::Start;
 use cyclamen_types::{Time, instance};
 
-use crate::node::{LimitSource, Node, State};
+use crate::node::{LimitSource, Node, ProbeCause, State};
 use crate::settings::millis;
 use crate::tasks::gossip::SMALL_FLEET_PEERS;
 use crate::tasks::{gossip_now, paths, record_notices};
@@ -39,7 +39,7 @@
     let (head, count) = (&target.instance, members.len());
     log::info!("event=group_checked head={head} members={count}");
     for member in members {
-        probe_worker(node, member, INITIAL_PROBES);
+        probe_worker(node, member, ProbeCause::Request, INITIAL_PROBES);
     }
 }
 
@@ -71,10 +71,15 @@
 }
 
 /// Starts probing a worker, and suspects it if every probe fails.
-pub(super) fn probe_worker(node: &Arc<Node>, worker: Arc<Instance>, probes: u32) {
+pub(super) fn probe_worker(
+    node: &Arc<Node>,
+    worker: Arc<Instance>,
+    cause: ProbeCause,
+    probes: u32,
+) {
     let node = node.clone();
     let probing = async move {
-        if !probe(&node, &worker, probes).await {
+        if !probe(&node, &worker, cause, probes).await {
             suspect(&node, &worker);
         }
     };
@@ -92,12 +97,17 @@
 }
 
 /// Probes a worker and records whether it was reached; returns whether it responds.
-pub(super) async fn probe(node: &Arc<Node>, worker: &Instance, probes: u32) -> bool {
+pub(super) async fn probe(
+    node: &Arc<Node>,
+    worker: &Instance,
+    cause: ProbeCause,
+    probes: u32,
+) -> bool {
     let start = Start::from(worker);
     let responds = if is_plain(&node.state(), worker) {
-        accepts(node, worker.address, probes).await
+        accepts(node, worker.address, cause, probes).await
     } else {
-        responds(node, &start, worker.address, probes).await
+        responds(node, (&start, worker.address), cause, probes).await
     };
     if responds {
         paths::record_response(node, worker);
@@ -117,10 +127,12 @@
 
 /// Connects up to `probes` times to a worker of a plain service, where a request would take the
 /// slot of another one; returns whether it accepts a connection.
-async fn accepts(node: &Node, address: SocketAddr, probes: u32) -> bool {
+async fn accepts(node: &Node, address: SocketAddr, cause: ProbeCause, probes: u32) -> bool {
     let timeout = millis(node.settings.timing.report_timeout_ms);
     for _ in 0..probes {
-        if node.platform.connects(address, timeout).await {
+        let accepts = node.platform.connects(address, timeout).await;
+        record(node, cause, accepts);
+        if accepts {
             return true;
         }
     }
@@ -130,14 +142,15 @@
 /// Probes a worker up to `probes` times; returns whether it responds.
 pub(super) async fn responds(
     node: &Arc<Node>,
-    worker: &Start,
-    address: SocketAddr,
+    (worker, address): (&Start, SocketAddr),
+    cause: ProbeCause,
     probes: u32,
 ) -> bool {
     let timeout = millis(node.settings.timing.report_timeout_ms);
     for _ in 0..probes {
         let sent_at = node.now();
         let response = node.platform.probe(address, timeout).await;
+        record(node, cause, response.result);
         if let Some(notices) = response.notices {
             record_notices(node, worker, sent_at, notices, LimitSource::Probe);
         }
@@ -148,6 +161,12 @@
     false
 }
 
+/// Counts a probe and whether the worker responded.
+pub(super) fn record(node: &Node, cause: ProbeCause, responds: bool) {
+    node.metrics.record_probe(cause, responds);
+    node.state().activity.record_probe(cause, responds);
+}
+
 /// Probes suspected workers again, as well as unlisted members of groups in the domains that
 /// this entry owns, which may be finishing their work or have failed.
 pub(super) fn reprobe(node: &Arc<Node>) {
@@ -173,10 +192,10 @@
         due.partition(|instance| state.is_suspected(instance))
     };
     for worker in suspected {
-        probe_worker(node, worker, REPEAT_PROBES);
+        probe_worker(node, worker, ProbeCause::Suspected, REPEAT_PROBES);
     }
     for worker in departed {
-        probe_worker(node, worker, INITIAL_PROBES);
+        probe_worker(node, worker, ProbeCause::Departed, INITIAL_PROBES);
     }
 }
 
--- a/crates/cyclamen-server/src/peer.rs
+++ b/crates/cyclamen-server/src/peer.rs
@@ -1,6 +1,6 @@
 //! The other end of a connection, which may leave while nothing is sent to it.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use smol::Timer;
@@ -43,8 +43,10 @@
     /// A peer that has closed both sides resets the connection once something is sent to it, so one
     /// that only sends no more is waited for as long as it is sent something and this is called
     /// again now and then. Requests that the peer has sent meanwhile stay unread.
-    pub async fn left(&self) {
-        self.closed_for(HALF_CLOSE_PATIENCE).await;
+    ///
+    /// Returns how long ago it was seen to have closed its sending side.
+    pub async fn left(&self) -> Duration {
+        self.closed_for(HALF_CLOSE_PATIENCE).await
     }
 
     /// Waits until the peer has closed its sending side, or the whole connection.
@@ -52,14 +54,21 @@
         self.closed_for(Duration::ZERO).await;
     }
 
-    async fn closed_for(&self, patience: Duration) {
+    async fn closed_for(&self, patience: Duration) -> Duration {
         let mut passed = Duration::ZERO;
+        let mut seen_at = None;
         loop {
             Timer::after(CHECK_INTERVAL).await;
-            match self.closing() {
+            let closing = self.closing();
+            if closing != Closing::Nothing {
+                seen_at = seen_at.or_else(|| Some(Instant::now()));
+            }
+            match closing {
                 Closing::Nothing => {}
                 Closing::Sending if passed < patience => passed += CHECK_INTERVAL,
-                Closing::Sending | Closing::Both => return,
+                Closing::Sending | Closing::Both => {
+                    return seen_at.map_or(Duration::ZERO, |at| at.elapsed());
+                }
             }
         }
     }
