gateway: entries without the store tell which workers' rows gossip has brought

Cause: an entry said up to which revision the store had told it the list of workers, and not what gossip had brought since. So each message to an entry without the store held all changes since its loss, again and again, up to 256 rows, and never the later ones. The messages grew until they filled the links (20 Mbit/s); probes timed out, sound workers were suspected by the hundred, and their probes by all entries added to it. Class: repair traffic that repeats what is known, and grows with the time that a fault lasts. The fix: as for the operators' table, an entry tells the position that it has from the store or by gossip. Rows of a table are sent in the order of their revisions, so it has all up to the last one. The position from which it asks the store stays the store's.

--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -107,8 +107,8 @@
     pub(crate) activity: Activity,
     /// The bytes exchanged with other entries up to the last report.
     pub(crate) gossip_bytes: u64,
-    /// The revision up to which gossip has delivered the operators' rows.
-    pub(crate) operators_gossip_as_of: Revision,
+    /// The revision up to which gossip has delivered each followed table.
+    pub(crate) gossip_positions: BTreeMap<Table, Revision>,
     /// The times at which each followed table reached its recent revisions.
     pub(crate) histories: BTreeMap<Table, History>,
     /// The rows of the other tables that could not be read.
@@ -183,7 +183,7 @@
             store_calls: Calls::default(),
             activity: Activity::default(),
             gossip_bytes: 0,
-            operators_gossip_as_of: Revision::default(),
+            gossip_positions: BTreeMap::new(),
             histories: BTreeMap::new(),
             odd_rows: OddRows::default(),
             peers: BTreeMap::new(),
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -113,11 +113,15 @@
         now.since(known_at.copied().unwrap_or_default())
     }
 
-    /// Records that gossip has delivered the operators' rows up to a revision.
-    pub(crate) fn record_operators_gossip(&mut self, now: Time, revision: Revision) {
-        self.operators_gossip_as_of = self.operators_gossip_as_of.max(revision);
-        let history = self.histories.entry(Table::Operators).or_default();
-        history.record(now, self.operators_gossip_as_of);
+    /// Records that gossip has delivered the rows of a followed table up to a revision.
+    pub(crate) fn record_gossip_position(&mut self, now: Time, table: Table, revision: Revision) {
+        let position = self.gossip_positions.entry(table).or_default();
+        *position = revision.max(*position);
+        let position = *position;
+        self.histories
+            .entry(table)
+            .or_default()
+            .record(now, position);
     }
 
     /// Returns the row with the operators' configuration that is in force.
@@ -152,10 +156,11 @@
         self.positions.get(&table).copied().unwrap_or_default()
     }
 
-    /// Returns the revision up to which the store or gossip has delivered the operators' rows.
-    pub(crate) fn operators_as_of(&self) -> Revision {
-        self.as_of(Table::Operators)
-            .max(self.operators_gossip_as_of)
+    /// Returns the revision up to which the store or gossip has delivered a followed table: other
+    /// entries send only later rows.
+    pub(crate) fn known_as_of(&self, table: Table) -> Revision {
+        let by_gossip = self.gossip_positions.get(&table).copied();
+        self.as_of(table).max(by_gossip.unwrap_or_default())
     }
 
     /// Applies a row unless the same or a newer revision is known; returns whether the targets
--- a/crates/cyclamen-gateway/src/tasks/gossip.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip.rs
@@ -6,11 +6,12 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use cyclamen_cache::Revision;
 use cyclamen_peer::Gossip;
 use cyclamen_types::{Time, entry};
 use rand::seq::IteratorRandom;
 
-use crate::node::{FOLLOWED_TABLES, Knowledge, Node, ProbeCause, Source};
+use crate::node::{FOLLOWED_TABLES, Knowledge, Node, ProbeCause, Source, State};
 use crate::platform::{Row, Subject, Table};
 use crate::settings::millis;
 use crate::tasks::observe;
@@ -233,12 +234,13 @@
     let is_catalog = |row: &Row| node.platform.subject(row.table, &row.key) == Subject::Catalog;
     let catalog = obsolete.into_iter().filter(is_catalog);
     let has_rows = !rows.is_empty();
-    let operators = rows.iter().filter(|row| row.table == Table::Operators);
-    let newest = operators.map(|row| row.revision).max();
+    let newest = FOLLOWED_TABLES.map(|table| (table, newest(&rows, table)));
     let rows = rows.into_iter().chain(catalog);
     state.apply_rows(now, node.platform.as_ref(), Source::Gossip, rows);
-    if let Some(newest) = newest.filter(|_| now >= FORMER_INCARNATION_UNTIL) {
-        state.record_operators_gossip(now, newest);
+    for (table, newest) in newest {
+        if let Some(newest) = newest.filter(|_| is_position_told(&state, now, table)) {
+            state.record_gossip_position(now, table, newest);
+        }
     }
     for proof in proofs {
         if state.record_proof(now, proof) {
@@ -255,6 +257,21 @@
     }
 }
 
+/// Returns the revision of the newest row of a table.
+fn newest(rows: &[Row], table: Table) -> Option<Revision> {
+    let rows = rows.iter().filter(|row| row.table == table);
+    rows.map(|row| row.revision).max()
+}
+
+/// Returns whether rows that have come by gossip tell up to which revision a table is known.
+///
+/// Right after a start they may be meant for the former incarnation, and while a new era of the
+/// store recovers, workers' rows are held back.
+fn is_position_told(state: &State, now: Time, table: Table) -> bool {
+    let is_held_back = table == Table::Instances && state.is_recovering();
+    now >= FORMER_INCARNATION_UNTIL && !is_held_back
+}
+
 /// Converts a gossiped row; `None` if it does not belong to a followed table.
 fn row(row: cyclamen_cache::Row) -> Option<Row> {
     let (table, key) = row.key.0.split_once('/')?;
--- a/crates/cyclamen-gateway/src/tasks/gossip/message.rs
+++ b/crates/cyclamen-gateway/src/tasks/gossip/message.rs
@@ -36,8 +36,8 @@
 /// last gossip.
 ///
 /// Entries read changes from the store at about the same time, so the message
-/// contains only rows that the other entry should have read a while ago. The
-/// operators' rows are sent in the order of their revisions, so that the receiver
+/// contains only rows that the other entry should have read a while ago. The rows
+/// of a table are sent in the order of their revisions, so that the receiver
 /// has all of them up to the last one it received. Their configuration is sent besides if the one
 /// in force at the other entry is older.
 ///
@@ -96,8 +96,8 @@
     Gossip {
         sender: state.local.clone(),
         era: state.era,
-        as_of: state.as_of(Table::Instances),
-        operators_as_of: state.operators_as_of(),
+        as_of: state.known_as_of(Table::Instances),
+        operators_as_of: state.known_as_of(Table::Operators),
         catalog_version: state.catalog.version(),
         summaries: Vec::new(),
         answers: state.strikes.answers_to_gossip(now, &strikes),
