gateway: a worker that others suspect is probed by the entries that it concerns

What callers saw: work that went on after they had left (GONE), and requests late at their workers, on the large herd deployment. Cause: each entry probed each worker of which any other entry said that it suspects it, each second that it was said, so the probes grew with the entries times the suspected workers; a worker takes 1 ms for a new connection, and 295 entries asked it twice. Class: repair traffic that delays what it measures. The fix: a reported worker is probed by the entries of its cell, the owner of its fabric domain and those whose requests it or its group runs, a number that the size of a cell and the slots of a worker bound. In a small fleet all entries probe, as before.

--- a/crates/cyclamen-gateway/src/node/suspicions.rs
+++ b/crates/cyclamen-gateway/src/node/suspicions.rs
@@ -1,20 +1,39 @@
 //! What this entry finds out about workers by itself or hears from other entries.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cyclamen_directory::Instance;
 use cyclamen_dispatch::Target;
 use cyclamen_replica::Start;
-use cyclamen_types::{Time, entry};
+use cyclamen_types::{Time, entry, group, instance};
 
 use crate::node::State;
+use crate::tasks::SMALL_FLEET_PEERS;
 
 /// How long other entries are told of a worker that said that it is leaving.
 const LEAVING_GOSSIP_DURATION: Duration = Duration::from_secs(5);
 /// The maximum number of leaving workers in a gossip message.
 const MAX_LEAVING: usize = 64;
 
+/// What runs a request.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Unit {
+    Worker(instance::Id),
+    Group(group::Id, group::Fence),
+}
+
+impl Unit {
+    /// Returns the group that a worker belongs to, or the worker.
+    fn of(worker: &Instance) -> Self {
+        match &worker.membership {
+            Some(membership) => Self::Group(membership.group.clone(), membership.fence),
+            None => Self::Worker(worker.id.clone()),
+        }
+    }
+}
+
 impl State {
     /// Records that a worker failed its probes; returns whether the suspicion is new.
     pub(crate) fn suspect(&mut self, now: Time, start: &Start) -> bool {
@@ -105,6 +124,9 @@
 
     /// Records which workers another entry suspects, and which of those that others suspect it
     /// reaches; returns the listed workers to probe now.
+    ///
+    /// The entries that a worker concerns probe it, so that the number of its probes does not grow
+    /// with the number of entries. The others prefer other workers for a while.
     pub(crate) fn record_suspicions(
         &mut self,
         now: Time,
@@ -118,13 +140,42 @@
             known.is_some_and(|e| e.instance.incarnation == start.incarnation)
         });
         let to_probe = self.detector.record_report(now, entry, listed, reached);
+        let doubted = to_probe
+            .iter()
+            .filter_map(|s| self.registry.get(&s.instance));
+        let doubted: Vec<Arc<Instance>> = doubted.map(|record| record.instance.clone()).collect();
+        let in_use = self.workers_in_use();
+        let is_concerned =
+            |worker: &Arc<Instance>| in_use.contains(&Unit::of(worker)) || self.is_near(worker);
+        let (concerned, others): (Vec<_>, Vec<_>) = doubted.into_iter().partition(is_concerned);
+        for worker in &others {
+            self.detector.leave_to_others(&Start::from(worker.as_ref()));
+        }
         if !to_probe.is_empty() {
             self.refresh_targets(now);
         }
-        let entries = to_probe
-            .iter()
-            .filter_map(|s| self.registry.get(&s.instance));
-        entries.map(|entry| entry.instance.clone()).collect()
+        concerned
+    }
+
+    /// Returns the workers and groups that run requests of this entry.
+    fn workers_in_use(&self) -> BTreeSet<Unit> {
+        let loads = self.dispatcher.loads();
+        let heads = loads.iter().filter_map(|l| self.registry.get(&l.instance));
+        heads.map(|head| Unit::of(&head.instance)).collect()
+    }
+
+    /// Returns whether this entry is one of the few that probe a worker on behalf of all entries: all
+    /// of a small fleet, otherwise those of its cell and the owner of its fabric domain.
+    pub(crate) fn is_near(&self, worker: &Instance) -> bool {
+        let in_cell = |domain| self.cell.domains.contains(domain);
+        let is_small = self.peers.len() <= SMALL_FLEET_PEERS;
+        is_small || worker.domain.as_ref().is_some_and(in_cell) || self.is_owned(worker)
+    }
+
+    /// Returns whether a worker is in a fabric domain that this entry owns.
+    pub(crate) fn is_owned(&self, worker: &Instance) -> bool {
+        let domain = worker.domain.as_ref();
+        domain.is_some_and(|domain| self.ownership.planners.contains_key(domain))
     }
 
     /// Returns whether a worker is suspected and should get no new work.
--- a/crates/cyclamen-gateway/src/tasks/probe.rs
+++ b/crates/cyclamen-gateway/src/tasks/probe.rs
@@ -11,7 +11,6 @@
 
 use crate::node::{LimitSource, Node, ProbeCause, State};
 use crate::settings::millis;
-use crate::tasks::gossip::SMALL_FLEET_PEERS;
 use crate::tasks::{gossip_now, paths, record_notices};
 
 /// The number of probes in a row that a worker has to fail to become suspected.
@@ -184,9 +183,9 @@
                 let start = Start::from(instance.as_ref());
                 return state
                     .detector
-                    .is_probe_due(now, &start, is_near(&state, instance));
+                    .is_probe_due(now, &start, state.is_near(instance));
             }
-            record.has_departed() && instance.membership.is_some() && is_owned(&state, instance)
+            record.has_departed() && instance.membership.is_some() && state.is_owned(instance)
         });
         let due = due.map(|record| record.instance.clone());
         due.partition(|instance| state.is_suspected(instance))
@@ -198,17 +197,3 @@
         probe_worker(node, worker, ProbeCause::Departed, INITIAL_PROBES);
     }
 }
-
-/// Returns whether a worker is in a fabric domain that this entry owns.
-fn is_owned(state: &State, instance: &Instance) -> bool {
-    let domain = instance.domain.as_ref();
-    domain.is_some_and(|domain| state.ownership.planners.contains_key(domain))
-}
-
-/// Returns whether this entry is one of the few that probe a suspected worker on behalf of all
-/// entries.
-fn is_near(state: &State, instance: &Instance) -> bool {
-    let domain = instance.domain.as_ref();
-    let in_cell = domain.is_some_and(|domain| state.cell.domains.contains(domain));
-    state.peers.len() <= SMALL_FLEET_PEERS || in_cell || is_owned(state, instance)
-}
--- a/crates/cyclamen-replica/src/detector.rs
+++ b/crates/cyclamen-replica/src/detector.rs
@@ -153,6 +153,14 @@
         to_probe
     }
 
+    /// Records that a worker that another entry suspects is left to the entries that it concerns: it
+    /// is not probed here, and may still get new work.
+    pub fn leave_to_others(&mut self, start: &Start) {
+        if let Some(probing) = self.probing.get_mut(start) {
+            probing.is_suspected = false;
+        }
+    }
+
     /// Returns the workers that another entry reaches, and when it last reported so.
     ///
     /// One that a report no longer names may only be about to be probed again: it stays until its
