entry: the futures of requests and edits are kept on the heap

What callers saw: an entry of the own interface, built without optimisation on x86-64, ended with a stack overflow at its first completion; 29 tests of processes did not run there. Cause: the futures of a request were held by value in one another, and each poll had copies of them on the stack: 511 kB in completion::handle, 342 kB in respond_complete, 246 kB in cancel_on_disconnect, 188 kB in Api::run, 2,092 kB in all (gdb, frames of the overflowed thread). Why this works: each large future is boxed where it is made, so a poll has only a pointer on the stack. The processes of these tests now run with half of the usual stack, so that a future which grows is seen on every kind of machine: with only the completions boxed, drains failed with it.

--- a/crates/cyclamen-entry/src/caller/completion.rs
+++ b/crates/cyclamen-entry/src/caller/completion.rs
@@ -67,9 +67,9 @@
     conn.response_headers_mut()
         .insert(cyclamen_endpoint::REQUEST_ID_HEADER, id.to_string());
     if streamed {
-        respond_with_stream(job, conn).await
+        Box::pin(respond_with_stream(job, conn)).await
     } else {
-        respond_complete(&mut job, conn).await
+        Box::pin(respond_complete(&mut job, conn)).await
     }
 }
 
@@ -99,7 +99,7 @@
 /// Responds with a stream as soon as its first chunk has arrived.
 async fn respond_with_stream(mut job: Job, conn: &mut Conn) -> Result<(), Refusal> {
     let abortion = job.node.abortion.clone();
-    let first = abortion.or_aborted(job.next());
+    let first = Box::pin(abortion.or_aborted(Box::pin(job.next())));
     let first = conn.cancel_on_disconnect(first).await;
     let first = first.unwrap_or_else(|| Some(Err(caller_gone())));
     let first = first.unwrap_or_else(|| Err(drain::aborted(&job.retry)));
@@ -118,7 +118,7 @@
 /// Responds with the complete response as one JSON value.
 async fn respond_complete(job: &mut Job, conn: &mut Conn) -> Result<(), Refusal> {
     let abortion = job.node.abortion.clone();
-    let collecting = abortion.or_aborted(job.collect());
+    let collecting = Box::pin(abortion.or_aborted(Box::pin(job.collect())));
     let result = conn.cancel_on_disconnect(collecting).await;
     let result = result.unwrap_or_else(|| Some(Err(caller_gone())));
     let result = result.unwrap_or_else(|| Err(drain::aborted(&job.retry)));
--- a/crates/cyclamen-entry/src/caller/completion/delivery.rs
+++ b/crates/cyclamen-entry/src/caller/completion/delivery.rs
@@ -1,6 +1,5 @@
 //! Delivery of a completion to its caller, as one JSON value or chunk by chunk.
 
-use std::pin::pin;
 use std::time::Duration;
 
 use cyclamen_endpoint::Chunk;
@@ -71,8 +70,7 @@
                 return self.record_outcome(None);
             }
             let next = {
-                // Pinned here, so that no copy of it is on a thread's stack.
-                let next = pin!(self.next());
+                let next = Box::pin(self.next());
                 let next = or(next, left(caller.as_ref()));
                 abortion.or_aborted(next).await
             };
--- a/crates/cyclamen-entry/src/caller/completion/job.rs
+++ b/crates/cyclamen-entry/src/caller/completion/job.rs
@@ -121,7 +121,7 @@
             if !self.retry.may_run {
                 drain::check_waiting(&self.node, &self.route)?;
             }
-            if let Some(upstream) = self.open(admitted).await? {
+            if let Some(upstream) = Box::pin(self.open(admitted)).await? {
                 return Ok(upstream);
             }
         }
@@ -162,14 +162,14 @@
         let client = &self.node.workers;
         let head_timeout = self.route.deadline();
         let body = &self.body;
-        let opening = client.open_stream(
+        let opening = Box::pin(client.open_stream(
             &target,
             &self.id,
             &traceparent,
             body,
             self.position,
             head_timeout,
-        );
+        ));
         let was_run = std::mem::replace(&mut self.retry.may_run, true);
         match opening.await {
             Ok(stream) => {
--- a/crates/cyclamen-entry/src/caller/plain.rs
+++ b/crates/cyclamen-entry/src/caller/plain.rs
@@ -86,8 +86,8 @@
     call.check_drain()?;
     call.body = request::body(node, conn).await?;
     call.check_drain()?;
-    let running = node.abortion.or_aborted(call.run(&team.name, key));
-    let result = running.await;
+    let running = Box::pin(call.run(&team.name, key));
+    let result = Box::pin(node.abortion.or_aborted(running)).await;
     let result = result.unwrap_or_else(|| Err(drain::aborted(&call.retry)));
     let outcome = result
         .as_ref()
@@ -126,9 +126,9 @@
     /// Runs the call; one that may not be repeated at most once, for its key if it has one.
     async fn run(&mut self, team: &team::Name, key: Option<Arc<str>>) -> Result<Answer, Refusal> {
         match (self.is_idempotent(), key) {
-            (true, _) => self.send_with_retries().await,
-            (false, Some(key)) => claim::run(self, team, &key).await,
-            (false, None) => self.send_at_most_once().await,
+            (true, _) => Box::pin(self.send_with_retries()).await,
+            (false, Some(key)) => Box::pin(claim::run(self, team, &key)).await,
+            (false, None) => Box::pin(self.send_at_most_once()).await,
         }
     }
 
--- a/crates/cyclamen-entry/src/operator/mod.rs
+++ b/crates/cyclamen-entry/src/operator/mod.rs
@@ -25,7 +25,8 @@
                 conn.ok(text)
             }
             _ if !self.is_operator(&conn) => conn.with_status(401).halt(),
-            _ => self.handle_operator(conn).await,
+            // On the heap, as the futures of callers' requests.
+            _ => Box::pin(self.handle_operator(conn)).await,
         }
     }
 }
@@ -57,7 +58,7 @@
             (Method::Get, ["tables", table]) => tables::read(node, table).await,
             (Method::Get, ["tables", table, "history"]) => tables::history(node, table).await,
             (Method::Post, ["tables", table]) => match conn.request_body().read_bytes().await {
-                Ok(body) => tables::apply(node, table, &body).await,
+                Ok(body) => Box::pin(tables::apply(node, table, &body)).await,
                 Err(error) => {
                     log::warn!("event=edit_not_read table={table} reason=\"{error}\"");
                     if cyclamen_server::is_too_long(&error) {
--- a/dev/stand-in/tests/site/mod.rs
+++ b/dev/stand-in/tests/site/mod.rs
@@ -26,6 +26,9 @@
 /// How long an answer may take.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// The stack of each thread of a process, in bytes: half of the usual one, so that futures that are as
+/// large as to overflow it on some kinds of machines do so on all.
+const STACK_BYTES: &str = "1048576";
 /// The number of log lines of each process that a failed wait reports.
 const REPORTED_LOG_LINES: usize = 20;
 
@@ -45,6 +48,7 @@
         };
         let child = Command::new(binary)
             .args(arguments)
+            .env("RUST_MIN_STACK", STACK_BYTES)
             .stdout(stdout)
             .stderr(stderr)
             .spawn()
