gateway, entry: what a client sends ahead while its request runs stays in the socket

Cause: while a handler ran, cancel_on_disconnect of the HTTP library read what came into the connection's buffer, which has no limit. The memory that requests share did not see these bytes. The fix: the process's own watch of a peer, which reads nothing, serves before the head of a response too, on both interfaces; the socket's buffer and the peer's window are the limit.

--- a/crates/cyclamen-entry/src/caller/completion.rs
+++ b/crates/cyclamen-entry/src/caller/completion.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use cyclamen_route::containment::{Fingerprint, Part};
+use cyclamen_server::or_closed;
 use serde_json::Value;
 use trillium::{Body, Conn, KnownHeaderName};
 
@@ -100,7 +101,7 @@
 async fn respond_with_stream(mut job: Job, conn: &mut Conn) -> Result<(), Refusal> {
     let abortion = job.node.abortion.clone();
     let first = Box::pin(abortion.or_aborted(Box::pin(job.next())));
-    let first = conn.cancel_on_disconnect(first).await;
+    let first = or_closed(conn, first).await;
     let first = first.unwrap_or_else(|| Some(Err(caller_gone())));
     let first = first.unwrap_or_else(|| Err(drain::aborted(&job.retry)));
     let first = first.inspect_err(|refusal| job.record_outcome(Some(refusal)))?;
@@ -119,7 +120,7 @@
 async fn respond_complete(job: &mut Job, conn: &mut Conn) -> Result<(), Refusal> {
     let abortion = job.node.abortion.clone();
     let collecting = Box::pin(abortion.or_aborted(Box::pin(job.collect())));
-    let result = conn.cancel_on_disconnect(collecting).await;
+    let result = or_closed(conn, collecting).await;
     let result = result.unwrap_or_else(|| Some(Err(caller_gone())));
     let result = result.unwrap_or_else(|| Err(drain::aborted(&job.retry)));
     job.record_outcome(result.as_ref().err());
--- a/crates/cyclamen-gateway/src/frontend/buffered.rs
+++ b/crates/cyclamen-gateway/src/frontend/buffered.rs
@@ -3,6 +3,7 @@
 use cyclamen_dispatch::Outcome;
 use cyclamen_http::StreamingResponse;
 use cyclamen_relay::Reservation;
+use cyclamen_server::or_closed;
 use futures::{AsyncRead, AsyncReadExt};
 use smol::Timer;
 use smol::future::or;
@@ -53,7 +54,7 @@
 pub(crate) async fn forward(mut request: Request, conn: &mut Conn) -> Result<(), Refusal> {
     let node = request.call.node.clone();
     let running = node.abortion.or_aborted(run(&mut request));
-    let result = match conn.cancel_on_disconnect(running).await {
+    let result = match or_closed(conn, running).await {
         Some(Some(result)) => result,
         Some(None) => return Err(request.record_abortion()),
         None => {
--- a/crates/cyclamen-gateway/src/frontend/stream.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::time::Duration;
 
-use cyclamen_server::Peer;
+use cyclamen_server::{Peer, or_closed};
 use futures::{TryStreamExt, stream};
 use smol::future::{or, pending};
 use trillium::{Body, Conn};
@@ -34,7 +34,7 @@
     let mut relay = Relay::new(request, last_event_id);
     let node = relay.request.call.node.clone();
     let beginning = node.abortion.or_aborted(relay.begin());
-    let head = match conn.cancel_on_disconnect(beginning).await {
+    let head = match or_closed(conn, beginning).await {
         Some(Some(head)) => head,
         Some(None) => return Err(relay.request.record_abortion()),
         None => {
--- a/crates/cyclamen-server/src/lib.rs
+++ b/crates/cyclamen-server/src/lib.rs
@@ -20,7 +20,7 @@
 mod transport;
 
 pub use body::is_too_long;
-pub use peer::Peer;
+pub use peer::{Peer, or_closed};
 pub use server::{Options, Server};
 pub use shutdown::Shutdown;
 pub use timeouts::Timeouts;
--- a/crates/cyclamen-server/src/peer.rs
+++ b/crates/cyclamen-server/src/peer.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use smol::future::or;
 use smol::{Async, Timer};
+use trillium::Conn;
 use trillium_smol::async_net::TcpStream;
 
 /// The interval at which a connection is checked for its end while its peer has sent bytes that are
@@ -67,6 +69,16 @@
         self.closing().await;
     }
 
+    /// Returns the result of work, or `None` if the peer closes its sending side or the whole
+    /// connection before it ends.
+    async fn or_closed<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let closed = async {
+            self.closed().await;
+            None
+        };
+        or(async { Some(work.await) }, closed).await
+    }
+
     /// Waits until the peer closes something.
     async fn closing(&self) -> Closing {
         loop {
@@ -104,3 +116,15 @@
         }
     }
 }
+
+/// Returns the result of work for the request of a connection, or `None` if the peer closes its sending
+/// side or the whole connection before it ends.
+///
+/// Nothing is read from the connection: what the peer sends ahead stays in the socket, where it has a
+/// limit.
+pub async fn or_closed<T>(conn: &Conn, work: impl Future<Output = T>) -> Option<T> {
+    match conn.state::<Peer>() {
+        Some(peer) => peer.or_closed(work).await,
+        None => Some(work.await),
+    }
+}
