server: framing of a body without content is limited

What callers saw: no answers while some clients sent trailers that did not end, and a process over its memory (790 MB with 800 clients; 69 to 105 MB with 40 on a machine of 64 MB). Cause: the HTTP library keeps what comes of a trailer section until its end, without a limit, and copies all of it for each part that comes. Nothing reserved these bytes. A busy machine was not the cause. The fix: a connection counts the bytes of a body in chunks that were read since its last content, which its reader tells. At 8 KiB the read fails: the request is refused (400, no worker has got it) and its connection closes. Both interfaces read bodies so.

--- a/crates/cyclamen-entry/src/caller/request.rs
+++ b/crates/cyclamen-entry/src/caller/request.rs
@@ -4,6 +4,7 @@
 
 use cyclamen_endpoint::OWN_PATHS;
 use cyclamen_http::Target;
+use cyclamen_server::Reader;
 use cyclamen_tables::{Route, Team};
 use rand::Rng;
 use smol::Timer;
@@ -60,8 +61,8 @@
 pub(crate) async fn body(node: &Node, conn: &mut Conn) -> Result<Vec<u8>, Refusal> {
     let bounds = node.settings.bounds;
     let reading = async {
-        let body = conn.request_body().with_max_len(bounds.body_bytes);
-        body.read_bytes().await.map_err(|error| {
+        let body = Reader::new(conn, bounds.body_bytes);
+        body.read_to_end().await.map_err(|error| {
             if cyclamen_server::is_too_long(&error) {
                 Refusal::invalid(413, "too_large", "the body is too large")
             } else {
--- a/crates/cyclamen-entry/src/operator/mod.rs
+++ b/crates/cyclamen-entry/src/operator/mod.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use cyclamen_server::Reader;
 use subtle::ConstantTimeEq;
 use trillium::{Conn, Handler, KnownHeaderName, Method};
 
@@ -49,6 +50,11 @@
         token.is_some_and(|token| token.as_bytes().ct_eq(expected.as_bytes()).into())
     }
 
+    async fn read_body(&self, conn: &mut Conn) -> Result<Vec<u8>, trillium_http::Error> {
+        let limit = self.0.settings.bounds.body_bytes;
+        Reader::new(conn, limit).read_to_end().await
+    }
+
     async fn handle_operator(&self, mut conn: Conn) -> Conn {
         let path: Arc<str> = conn.path().into();
         let segments: Vec<_> = path.trim_matches('/').split('/').collect();
@@ -57,7 +63,7 @@
             (Method::Get, ["status"]) => status::read(node),
             (Method::Get, ["tables", table]) => tables::read(node, table).await,
             (Method::Get, ["tables", table, "history"]) => tables::history(node, table).await,
-            (Method::Post, ["tables", table]) => match conn.request_body().read_bytes().await {
+            (Method::Post, ["tables", table]) => match self.read_body(&mut conn).await {
                 Ok(body) => Box::pin(tables::apply(node, table, &body)).await,
                 Err(error) => {
                     log::warn!("event=edit_not_read table={table} reason=\"{error}\"");
--- a/crates/cyclamen-gateway/src/frontend/body.rs
+++ b/crates/cyclamen-gateway/src/frontend/body.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cyclamen_relay::intake::{Growth, Upload};
-use futures::AsyncReadExt;
+use cyclamen_server::Reader;
 use smol::Timer;
 use smol::future::{or, yield_now};
 use trillium::{Conn, Headers, KnownHeaderName};
@@ -62,7 +62,7 @@
     if memory.grow(node.now(), headers.len() * FIELD_BYTES) != Growth::Granted {
         return Err(no_memory());
     }
-    let mut body = conn.request_body().with_max_len(limit);
+    let mut body = Reader::new(conn, limit);
     let mut parts: Vec<Vec<u8>> = Vec::new();
     loop {
         let come = parts.len() * PART_BYTES;
@@ -113,8 +113,8 @@
         .ok()
 }
 
-fn unreadable(error: std::io::Error) -> Refusal {
-    if cyclamen_server::is_too_long(&error.into()) {
+fn unreadable(error: trillium_http::Error) -> Refusal {
+    if cyclamen_server::is_too_long(&error) {
         Refusal::invalid(413, "body_too_long")
     } else {
         Refusal::invalid(400, "body_not_read")
--- a/crates/cyclamen-server/src/body.rs
+++ b/crates/cyclamen-server/src/body.rs
@@ -1,13 +1,18 @@
 //! The bodies of requests, which may be refused before they have been read to their end.
+//!
+//! A body that comes in chunks is read by [`Reader`], which tells the connection of its content: framing
+//! without content, such as trailers, is limited.
 
 use std::io::ErrorKind;
 
 use futures::{AsyncReadExt, FutureExt};
+use trillium::RequestBody;
 use trillium_http::{Conn, Error, KnownHeaderName};
 
+use crate::peer::Peer;
 use crate::transport::Transport;
 
-/// The size of the buffer for the rest of a body.
+/// The size of the buffer for parts of a body.
 const BUFFER_BYTES: usize = 4 << 10;
 /// The maximum number of bytes of the rest of a body that are read.
 const MAX_REST_BYTES: usize = 64 << 10;
@@ -22,6 +27,42 @@
     }
 }
 
+/// Reads the body of a request.
+pub struct Reader<'a> {
+    body: RequestBody<'a>,
+    peer: Option<Peer>,
+}
+
+impl<'a> Reader<'a> {
+    /// Begins to read the body of a request, of `limit` bytes at most.
+    pub fn new(conn: &'a mut trillium::Conn, limit: u64) -> Self {
+        let peer = conn.state().cloned();
+        let body = conn.request_body().with_max_len(limit);
+        Self { body, peer }
+    }
+
+    /// Reads some bytes; none at the end of the body.
+    pub async fn read(&mut self, buffer: &mut [u8]) -> Result<usize, Error> {
+        let count = self.body.read(buffer).await?;
+        if let Some(peer) = &self.peer {
+            peer.record_content();
+        }
+        Ok(count)
+    }
+
+    /// Reads the rest of the body.
+    pub async fn read_to_end(mut self) -> Result<Vec<u8>, Error> {
+        let mut content = Vec::new();
+        let mut buffer = vec![0; BUFFER_BYTES];
+        loop {
+            match self.read(&mut buffer).await? {
+                0 => return Ok(content),
+                count => content.extend_from_slice(&buffer[..count]),
+            }
+        }
+    }
+}
+
 /// Returns whether the next request of a connection can be read, because the current one's body has been
 /// read to its end; a small rest that has come is read.
 pub(crate) fn is_at_end(conn: &mut Conn<Transport>) -> bool {
--- a/crates/cyclamen-server/src/connection.rs
+++ b/crates/cyclamen-server/src/connection.rs
@@ -12,6 +12,7 @@
 use smol::future::{or, yield_now};
 use swansong::Swansong;
 use trillium::{Conn, Handler};
+use trillium_http::KnownHeaderName::TransferEncoding;
 use trillium_http::{HttpContext, Version};
 use trillium_smol::async_net::TcpStream;
 
@@ -81,9 +82,10 @@
     let transport = Transport::new(stream.clone(), timeouts, progress.clone());
     let served = Arc::new(context).run(transport, |conn| {
         let (shared, last, handler) = (shared.clone(), last.clone(), handler.clone());
-        let peer = Peer::new(stream.clone());
+        let peer = Peer::new(stream.clone(), progress.clone());
         let progress = progress.clone();
-        let has_waited = progress.begin_request();
+        let headers = conn.request_headers();
+        let has_waited = progress.begin_request(headers.has_header(TransferEncoding));
         // Responses to HTTP/1.0 have no chunks.
         is_unframed.store(conn.http_version() == Version::Http1_0, Ordering::Relaxed);
         async move {
--- a/crates/cyclamen-server/src/lib.rs
+++ b/crates/cyclamen-server/src/lib.rs
@@ -19,7 +19,7 @@
 mod timeouts;
 mod transport;
 
-pub use body::is_too_long;
+pub use body::{Reader, is_too_long};
 pub use peer::{Peer, or_closed};
 pub use server::{Options, Server};
 pub use shutdown::Shutdown;
--- a/crates/cyclamen-server/src/peer.rs
+++ b/crates/cyclamen-server/src/peer.rs
@@ -10,6 +10,8 @@
 use trillium::Conn;
 use trillium_smol::async_net::TcpStream;
 
+use crate::transport::Progress;
+
 /// The interval at which a connection is checked for its end while its peer has sent bytes that are
 /// not read: they hide the end from the reactor.
 const CHECK_INTERVAL: Duration = Duration::from_millis(40);
@@ -38,11 +40,17 @@
 
 /// The peer of a connection; each request has it in its state.
 #[derive(Debug, Clone)]
-pub struct Peer(Arc<Async<net::TcpStream>>);
+pub struct Peer {
+    stream: Arc<Async<net::TcpStream>>,
+    progress: Arc<Progress>,
+}
 
 impl Peer {
-    pub(crate) fn new(stream: TcpStream) -> Self {
-        Self(stream.into())
+    pub(crate) fn new(stream: TcpStream, progress: Arc<Progress>) -> Self {
+        Self {
+            stream: stream.into(),
+            progress,
+        }
     }
 
     /// Waits until the peer has left: it has reset the connection, or has closed its sending side
@@ -69,6 +77,11 @@
         self.closing().await;
     }
 
+    /// Records that content of the body of the current request was read.
+    pub(crate) fn record_content(&self) {
+        self.progress.record_content();
+    }
+
     /// Returns the result of work, or `None` if the peer closes its sending side or the whole
     /// connection before it ends.
     async fn or_closed<T>(&self, work: impl Future<Output = T>) -> Option<T> {
@@ -87,7 +100,7 @@
                     Timer::after(CHECK_INTERVAL).await;
                 }
                 Closing::Nothing { has_unread: false } => {
-                    if self.0.readable().await.is_err() {
+                    if self.stream.readable().await.is_err() {
                         return Closing::Both;
                     }
                 }
@@ -99,7 +112,7 @@
     /// Returns what the peer has closed so far.
     fn look(&self) -> Closing {
         let flags = PollFlags::IN | PollFlags::RDHUP;
-        let mut polled = [PollFd::new(self.0.get_ref(), flags)];
+        let mut polled = [PollFd::new(self.stream.get_ref(), flags)];
         if poll(&mut polled, Some(&NO_WAIT)).is_err() {
             return Closing::Nothing { has_unread: true };
         }
--- a/crates/cyclamen-server/src/transport.rs
+++ b/crates/cyclamen-server/src/transport.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -23,21 +23,49 @@
 /// A response is sent.
 const RESPONSE: u8 = 3;
 
+/// The number of bytes of the framing of a body in chunks, its trailers included, that may come without
+/// any content. The HTTP library keeps them all, and the fields of trailers take a multiple of their bytes.
+const MAX_FRAMING_BYTES: usize = 8 << 10;
+/// The number of bytes of a body in chunks that are read at once. The library may read twice before it
+/// returns content that has come, so this is a part of the above.
+const CHUNKED_READ_BYTES: usize = 2 << 10;
+
 /// What happens on a connection, shared with what runs its requests.
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
     phase: AtomicU8,
     has_waited: AtomicBool,
     is_stalled: AtomicBool,
+    /// Whether the body of the current request comes in chunks.
+    is_chunked: AtomicBool,
+    /// The number of bytes of this body that were read since its last content.
+    framing: AtomicUsize,
 }
 
 impl Progress {
-    /// Records that a handler runs; returns whether its request was waited for.
-    pub(crate) fn begin_request(&self) -> bool {
+    /// Records that a handler runs, for a request whose body comes in chunks or not; returns whether the
+    /// request was waited for.
+    pub(crate) fn begin_request(&self, is_chunked: bool) -> bool {
         self.phase.store(REQUEST, Ordering::Relaxed);
+        self.is_chunked.store(is_chunked, Ordering::Relaxed);
+        self.record_content();
         self.has_waited.swap(false, Ordering::Relaxed)
     }
 
+    /// Records that content of the body was read.
+    pub(crate) fn record_content(&self) {
+        self.framing.store(0, Ordering::Relaxed);
+    }
+
+    /// Returns how many bytes may be read now; `None` if there is no limit.
+    fn readable(&self) -> Option<usize> {
+        let is_body = self.phase.load(Ordering::Relaxed) == REQUEST;
+        let is_limited = is_body && self.is_chunked.load(Ordering::Relaxed);
+        let framing = self.framing.load(Ordering::Relaxed);
+        let left = MAX_FRAMING_BYTES.saturating_sub(framing);
+        is_limited.then(|| left.min(CHUNKED_READ_BYTES))
+    }
+
     /// Records that a response begins.
     pub(crate) fn begin_response(&self) {
         self.phase.store(RESPONSE, Ordering::Relaxed);
@@ -121,10 +149,19 @@
             phase.store(IDLE, Ordering::Relaxed);
             self.deadline = None;
         }
-        let read = Pin::new(&mut self.inner).poll_read(cx, buf);
+        let readable = self.progress.readable().unwrap_or(buf.len());
+        if readable == 0 && !buf.is_empty() {
+            let reason = "framing without content";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
+        }
+        let readable = readable.min(buf.len());
+        let read = Pin::new(&mut self.inner).poll_read(cx, &mut buf[..readable]);
         let phase = &self.progress.phase;
         match read {
             Poll::Ready(result) => {
+                if let Ok(count) = result {
+                    self.progress.framing.fetch_add(count, Ordering::Relaxed);
+                }
                 if phase.load(Ordering::Relaxed) == IDLE {
                     phase.store(HEAD, Ordering::Relaxed);
                 }
