http: a response whose status is not that of a final one is no answer

Here 000, 099, 102 and 103 as the last response, 600, 999 and +99 never reached a caller: the HTTP library does not read them. 101 did, with the worker's signature. Cause: the library takes 101 for a final response, and a worker's response of any status under 500 was passed on. The fix: the client takes 200 and above for final, for workers, entries and the store alike. A request that got another status may have run: its caller gets 502, or it is repeated if it may be.

--- a/crates/cyclamen-http/src/client.rs
+++ b/crates/cyclamen-http/src/client.rs
@@ -152,11 +152,11 @@
             Ok(())
         })
         .await?;
-        let status = conn.status().ok_or(Error::Malformed)?;
+        let status = final_status(&conn)?;
         let headers = conn.response_headers().clone();
         let body = conn.take_response_body().ok_or(Error::Closed)?;
         Ok(StreamingResponse {
-            status: status as u16,
+            status,
             headers,
             body: body.with_max_len(u64::MAX),
         })
@@ -230,8 +230,17 @@
     }
 }
 
+/// Returns the status of a response; fails if it is none of a final one, such as 101, which the HTTP
+/// library takes for the end of HTTP on the connection.
+fn final_status(conn: &Conn) -> Result<u16, Error> {
+    let status = conn.status().map(|status| status as u16);
+    status
+        .filter(|status| *status >= 200)
+        .ok_or(Error::Malformed)
+}
+
 async fn read_response(mut conn: Conn) -> Result<Response, Error> {
-    let status = conn.status().ok_or(Error::Malformed)?;
+    let status = final_status(&conn)?;
     let headers = conn.response_headers().clone();
     let body = conn
         .response_body()
@@ -240,7 +249,7 @@
         .await?;
     conn.recycle().await;
     Ok(Response {
-        status: status as u16,
+        status,
         headers,
         body,
     })
