--- a/dev/stand-in/tests/site/mod.rs
+++ b/dev/stand-in/tests/site/mod.rs
@@ -68,6 +68,26 @@
         format!("{name} {}\n{}\n", state.unwrap_or_default(), end.join("\n"))
     }
 
+    /// Returns whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Returns the number of open descriptors.
+    pub fn descriptors(&self) -> usize {
+        let entries = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        entries.unwrap().count()
+    }
+
+    /// Returns the peak of the process's memory in kB.
+    pub fn peak_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let words = line.unwrap().split_whitespace();
+        words.rev().nth(1).unwrap().parse().unwrap()
+    }
+
     pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
