--- a/dev/stand-in/tests/site/mod.rs
+++ b/dev/stand-in/tests/site/mod.rs
@@ -69,17 +69,20 @@
     }
 
     /// Returns whether the process still runs.
+    #[allow(dead_code, reason = "used by the tests of crowds")]
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
 
     /// Returns the number of open descriptors.
+    #[allow(dead_code, reason = "used by the tests of crowds")]
     pub fn descriptors(&self) -> usize {
         let entries = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
         entries.unwrap().count()
     }
 
     /// Returns the peak of the process's memory in kB.
+    #[allow(dead_code, reason = "used by the tests of crowds")]
     pub fn peak_kb(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.unwrap();
