gateway: the group of a silent stream is found without building all groups

A stream whose worker is silent asks each 40 ms whether its group has lost a member, which built the groups of all workers of the service, 925 on the large deployment. Only the members of that group are looked at now; what is decided stays the same.

--- a/crates/cyclamen-gateway/src/node/targets.rs
+++ b/crates/cyclamen-gateway/src/node/targets.rs
@@ -110,7 +110,15 @@
         let record = self.registry.get(id)?;
         let membership = record.instance.membership.as_ref()?;
         let service = self.catalog.service(&record.instance.service)?;
-        let groups = self.groups(service);
+        let is_member = |i: &&Arc<Instance>| {
+            let other = i.membership.as_ref();
+            let is_of_group =
+                other.is_some_and(|m| m.group == membership.group && m.fence == membership.fence);
+            i.service == service.name && is_of_group
+        };
+        // Only its members: this is asked for each silent stream, again and again.
+        let instances = self.registry.records().map(|record| &record.instance);
+        let groups = Groups::from_instances(instances.filter(is_member));
         groups.get(&membership.group, membership.fence).cloned()
     }
 
