gateway: rows of workers that came by gossip are not told on

As before, only an entry that the store has told a row tells it on. Tests of peers::, sharing::, eras:: and rollbacks:: pass.

--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -117,11 +117,13 @@
     pub(crate) fn record_gossip_position(&mut self, now: Time, table: Table, revision: Revision) {
         let position = self.gossip_positions.entry(table).or_default();
         *position = revision.max(*position);
-        let position = *position;
-        self.histories
-            .entry(table)
-            .or_default()
-            .record(now, position);
+        // Of workers, only what the store has told an entry itself is told on: the others read it soon,
+        // and would get it from everyone.
+        if table == Table::Operators {
+            let position = *position;
+            let history = self.histories.entry(table).or_default();
+            history.record(now, position);
+        }
     }
 
     /// Returns the row with the operators' configuration that is in force.
