--- a/crates/cyclamen-directory/src/catalog.rs
+++ b/crates/cyclamen-directory/src/catalog.rs
@@ -125,6 +125,11 @@
         self.teams.get(key)
     }
 
+    /// Returns the number of API keys of all teams.
+    pub fn key_count(&self) -> usize {
+        self.teams.len()
+    }
+
     /// Returns whether any team is configured; without teams, API keys are not checked.
     pub fn has_teams(&self) -> bool {
         !self.teams.is_empty()
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -261,9 +261,11 @@
         match record {
             Record::Catalog(catalog) if catalog.version() > self.catalog.version() => {
                 log::info!(
-                    "event=configuration version={} revision={revision} source={}",
+                    "event=configuration version={} revision={revision} source={} keys={} keys_checked={}",
                     catalog.version(),
-                    source.as_str()
+                    source.as_str(),
+                    catalog.key_count(),
+                    catalog.has_teams()
                 );
                 timeouts::set(&self.timeouts, &catalog.limits());
                 self.catalog = Arc::new(catalog);
