gateway: keys are checked also while no team holds one

Cause: the check asked whether the table of keys is empty, not whether the configuration has teams (event=configuration ... keys=0 keys_checked=false beside version=3 in each request's line; no part of the configuration was skipped). The same state was reached by an empty list of teams, by teams that can't be decoded, at entries that start later or learn by gossip, and by requests that an earlier build admits without a team and hands over.

Fix: the catalog says whether access is by key, decoded from whether the list of teams is there; by key is the default. The receiver of a handed over request without a team refuses it, as not run, unless it knows that none is needed.

The own interface always asked for a team.

--- a/crates/cyclamen-directory/src/catalog.rs
+++ b/crates/cyclamen-directory/src/catalog.rs
@@ -45,10 +45,21 @@
     }
 }
 
+/// Whether callers need an API key on routes that are not anonymous.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Access {
+    /// Each request needs the key of a team; no request is admitted while no team holds a key.
+    #[default]
+    ByKey,
+    /// Requests need no key, since the configuration has no list of teams.
+    Open,
+}
+
 /// One version of the operators' configuration.
 #[derive(Debug, Default)]
 pub struct Catalog {
     version: Version,
+    access: Access,
     hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
     services: BTreeMap<pool::Service, Arc<Service>>,
     teams: HashMap<Key, Arc<Team>>,
@@ -56,7 +67,7 @@
 }
 
 impl Catalog {
-    /// Creates an empty configuration with the given version.
+    /// Creates an empty configuration with the given version, to which access is by key.
     pub fn new(version: Version, limits: Limits) -> Self {
         Self {
             version,
@@ -65,6 +76,11 @@
         }
     }
 
+    /// Sets whether callers need an API key.
+    pub fn set_access(&mut self, access: Access) {
+        self.access = access;
+    }
+
     /// Adds a route, replacing one with the same host and prefix.
     pub fn add_route(&mut self, route: Route) {
         let prefixes = self.hosts.entry(route.host.clone()).or_default();
@@ -130,8 +146,13 @@
         self.teams.len()
     }
 
-    /// Returns whether any team is configured; without teams, API keys are not checked.
-    pub fn has_teams(&self) -> bool {
-        !self.teams.is_empty()
+    /// Returns whether callers need an API key.
+    pub fn access(&self) -> Access {
+        self.access
+    }
+
+    /// Returns whether a route admits requests that belong to no team.
+    pub fn admits_without_team(&self, route: &Route) -> bool {
+        route.anonymous || self.access == Access::Open
     }
 }
--- a/crates/cyclamen-directory/src/draft.rs
+++ b/crates/cyclamen-directory/src/draft.rs
@@ -8,7 +8,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use crate::catalog::{Catalog, Limits, Version};
+use crate::catalog::{Access, Catalog, Limits, Version};
 use crate::route::Route;
 use crate::service::Service;
 use crate::team::{Key, Team};
@@ -63,6 +63,8 @@
     pub is_partial: bool,
     /// The version.
     pub version: Version,
+    /// Whether callers need an API key.
+    pub access: Access,
     /// The limits on caller requests.
     pub limits: Limits,
     /// The routes, in the order of the text.
@@ -77,6 +79,7 @@
     /// Returns the configuration that entries adopt; of parts of the same name, the last one counts.
     pub fn into_catalog(self) -> Catalog {
         let mut catalog = Catalog::new(self.version, self.limits);
+        catalog.set_access(self.access);
         for route in self.routes {
             catalog.add_route(route.value);
         }
--- a/crates/cyclamen-directory/src/draft/difference.rs
+++ b/crates/cyclamen-directory/src/draft/difference.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use crate::catalog::Access;
 use crate::draft::{Draft, Membership};
 use crate::route::{Repeat, Route};
 use crate::service::Service;
@@ -12,6 +13,8 @@
 /// What kind of part differs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
+    /// Whether callers need an API key.
+    Access,
     /// The limits on caller requests.
     Limits,
     /// A route.
@@ -26,6 +29,7 @@
     /// Returns the name.
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::Access => "access",
             Self::Limits => "limits",
             Self::Route => "route",
             Self::Service => "service",
@@ -69,6 +73,12 @@
     /// Keys are counted and never shown.
     pub fn changes(&self, in_force: &Self) -> Vec<Change> {
         let mut changes = Vec::new();
+        compare(
+            Kind::Access,
+            &in_force.access_parts(),
+            &self.access_parts(),
+            &mut changes,
+        );
         compare(
             Kind::Limits,
             &in_force.limit_parts(),
@@ -94,6 +104,15 @@
         changes
     }
 
+    fn access_parts(&self) -> Parts {
+        let access = match self.access {
+            Access::ByKey => "by the key of a team",
+            Access::Open => "open to all",
+        };
+        let fields = [("routes", access.to_string())];
+        Parts::from([("of callers".into(), Fields::from(fields))])
+    }
+
     fn limit_parts(&self) -> Parts {
         let fields = [
             ("head", format!("{} bytes", self.limits.head_bytes)),
@@ -198,7 +217,7 @@
 /// Returns what callers lose if a part of a kind is removed.
 fn removal_loss(kind: Kind) -> Option<&'static str> {
     match kind {
-        Kind::Limits => None,
+        Kind::Access | Kind::Limits => None,
         Kind::Route => Some("its callers get 404, or the route of a shorter prefix"),
         Kind::Service => Some("routes that lead to it serve nothing"),
         Kind::Team => Some("its callers get 401"),
--- a/crates/cyclamen-gateway/src/frontend/check.rs
+++ b/crates/cyclamen-gateway/src/frontend/check.rs
@@ -50,7 +50,7 @@
     let header = headers.get_str(KnownHeaderName::Authorization);
     let key = header.and_then(|h| h.strip_prefix(dialect.key_scheme));
     let team = key.and_then(|key| catalog.team(&Key::new(key.trim())));
-    if team.is_none() && catalog.has_teams() && !route.anonymous {
+    if team.is_none() && !catalog.admits_without_team(route) {
         return Err(Refusal::invalid(401, "unknown_key"));
     }
     Ok(Checked {
--- a/crates/cyclamen-gateway/src/frontend/handover.rs
+++ b/crates/cyclamen-gateway/src/frontend/handover.rs
@@ -3,8 +3,9 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use cyclamen_directory::catalog::Access;
 use cyclamen_directory::route::Priority;
-use cyclamen_directory::{Route, Team};
+use cyclamen_directory::{Catalog, Route, Team};
 use trillium::{Conn, Handler, Headers, KnownHeaderName};
 
 use crate::frontend::call::{Call, Prompt};
@@ -74,6 +75,7 @@
     let catalog = node.state().catalog.clone();
     let service = catalog.service(&envelope.service);
     let service = service.ok_or(Refusal::unconfigured())?.clone();
+    check_access(&catalog, &envelope)?;
     let dialect = node.platform.dialect();
     let target = Target::read(dialect, [&service], conn)?;
     let id = headers.get_str(dialect.request_id);
@@ -103,6 +105,20 @@
     })
 }
 
+/// Refuses a request that belongs to no team where this entry knows that its route asks for one:
+/// entries of earlier builds admit all callers while no team holds a key.
+fn check_access(catalog: &Catalog, envelope: &Envelope) -> Result<(), Refusal> {
+    let mut routes = catalog.routes().filter(|r| r.name == envelope.route);
+    let is_admitted = envelope.team.is_some()
+        || catalog.access() == Access::Open
+        || routes.any(|route| catalog.admits_without_team(route));
+    if is_admitted {
+        Ok(())
+    } else {
+        Err(Refusal::retry_later("no_team", BUSY_RETRY_DELAY))
+    }
+}
+
 /// Returns the route by which the sender got the request; it is sent to one worker.
 fn route(envelope: &Envelope, timeout: Duration) -> Route {
     Route {
--- a/crates/cyclamen-gateway/src/node/updates.rs
+++ b/crates/cyclamen-gateway/src/node/updates.rs
@@ -5,7 +5,7 @@
 
 use cyclamen_cache::{Key, Revision};
 use cyclamen_directory::Instance;
-use cyclamen_directory::catalog::Version;
+use cyclamen_directory::catalog::{Access, Version};
 use cyclamen_types::Time;
 use cyclamen_types::excerpt::Word;
 
@@ -265,7 +265,7 @@
                     catalog.version(),
                     source.as_str(),
                     catalog.key_count(),
-                    catalog.has_teams()
+                    catalog.access() == Access::ByKey
                 );
                 timeouts::set(&self.timeouts, &catalog.limits());
                 self.catalog = Arc::new(catalog);
--- a/crates/cyclamenpath/tests/configuration.rs
+++ b/crates/cyclamenpath/tests/configuration.rs
@@ -151,6 +151,8 @@
         => "change  team clerks: removed (its callers get 401)";
     replaced_keys: |c| c["tenants"][0]["api_keys"] = json!(["first-secret-key", "fourth-secret-key"])
         => "change  team herders: 1 keys added, 1 removed (callers with the removed keys get 401)";
+    access_opened_to_all: |c| { c.as_object_mut().unwrap().remove("tenants"); }
+        => "change  access of callers: routes open to all, was by the key of a team";
     a_larger_body: |c| c["limits"]["max_body_bytes"] = json!(8_388_608)
         => "change  limits of requests: body 8388608 bytes, was 4194304 bytes";
 }
