containment: one request at a time runs with an undecided part

Callers see: of requests with a part that crashes do not tell apart from others, one at a time runs at an entry until its worker begins to answer or its crash is known; the others get 503 (undecided_part) and may come back after 0.3 s.

The entry waits for the probes that confirm a crash, which the strike needs, before it lets the next request run; a first event ends the trial, since what crashes workers does so when they begin to answer.

--- a/crates/cyclamen-gateway/src/frontend/containment.rs
+++ b/crates/cyclamen-gateway/src/frontend/containment.rs
@@ -1,10 +1,15 @@
 //! Containment of requests that crash workers, and of those that share a part of their prompts.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use cyclamen_dispatch::Dispatch;
 use cyclamen_route::containment::{Answer, Decision, Fingerprint, Part};
 
 use crate::frontend::call::Call;
 use crate::frontend::refusal::Refusal;
+use crate::frontend::request::Request;
+use crate::node;
 use crate::tasks;
 use crate::tasks::Suspect;
 
@@ -12,6 +17,53 @@
 const MAX_PARTS: usize = 32;
 /// Maximum length of the id of a part, in bytes.
 const MAX_PART_BYTES: usize = 64;
+/// The retry delay of requests while another one runs with the same undecided part.
+const TRIAL_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Whether a request has to run alone among those with its undecided parts.
+#[derive(Clone, Default)]
+pub(super) enum Trial {
+    /// It was not sent yet with an undecided part.
+    #[default]
+    None,
+    /// It may crash its worker.
+    Running(Arc<node::Trial>),
+    /// A worker began to answer it.
+    Passed,
+}
+
+impl Trial {
+    /// Returns the trial while the request may crash its worker.
+    fn running(&self) -> Option<Arc<node::Trial>> {
+        match self {
+            Self::Running(trial) => Some(trial.clone()),
+            Self::None | Self::Passed => None,
+        }
+    }
+}
+
+impl Request {
+    /// Lets one request at a time run with a part that crashes do not tell apart from others.
+    pub(super) fn begin_trial(&mut self) -> Result<(), Refusal> {
+        if !matches!(self.trial, Trial::None) {
+            return Ok(());
+        }
+        let node = &self.call.node;
+        let undecided = node.state().strikes.undecided(&self.call.parts);
+        if undecided.is_empty() {
+            return Ok(());
+        }
+        let busy = Refusal::retry_later("undecided_part", TRIAL_RETRY_DELAY);
+        let trial = node::Trial::begin(node, undecided).ok_or(busy)?;
+        self.trial = Trial::Running(Arc::new(trial));
+        Ok(())
+    }
+
+    /// Ends the trial, if there is one, since a worker began to answer the request.
+    pub(super) fn pass_trial(&mut self) {
+        self.trial = Trial::Passed;
+    }
+}
 
 impl Call {
     /// Refuses a request that crashes workers.
@@ -50,8 +102,11 @@
 
     /// Records that a worker, which may have crashed, closed the connection before its response or
     /// at the beginning of it.
-    pub(crate) fn record_disconnect(&self, dispatch: &Dispatch) {
+    ///
+    /// The request's trial goes on until it is known whether the worker has.
+    pub(super) fn record_disconnect(&self, dispatch: &Dispatch, trial: &Trial) {
         let suspect = Suspect {
+            trial: trial.running(),
             id: self.id.clone(),
             fingerprint: self.fingerprint().clone(),
             parts: self.parts.clone(),
--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -15,6 +15,7 @@
 use crate::frontend::body::read_body;
 use crate::frontend::call::{Call, Prompt};
 use crate::frontend::check::{Checked, check, record_refused_head};
+use crate::frontend::containment::Trial;
 use crate::frontend::refusal::Refusal;
 use crate::frontend::way::{Handover, Way};
 use crate::handover::INTERNAL_HEADERS;
@@ -56,6 +57,7 @@
     /// How many of these times no worker ran it, by this entry or another one.
     not_run: u32,
     failed_connects: u32,
+    pub(super) trial: Trial,
     finished: bool,
     /// What the head and the body take of the memory that requests share.
     memory: Upload,
@@ -157,6 +159,7 @@
             sent: 0,
             not_run: 0,
             failed_connects: 0,
+            trial: Trial::default(),
             finished: false,
         }
     }
@@ -166,6 +169,7 @@
     pub(crate) fn choose(&mut self) -> Result<Way, Refusal> {
         self.call.check_containment()?;
         self.check_drain()?;
+        self.begin_trial()?;
         let way = self.choose_way()?;
         self.sent += 1;
         match &way {
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -18,6 +18,7 @@
 mod suspicions;
 mod targets;
 mod timeouts;
+mod trials;
 mod updates;
 
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -44,6 +45,7 @@
 pub(crate) use reach::Receiver;
 pub(crate) use state::State;
 pub(crate) use targets::{Loss, TargetCount};
+pub(crate) use trials::Trial;
 pub(crate) use updates::{FOLLOWED_TABLES, Source};
 
 /// The timeout for connecting to workers and, to hand requests over, to other entries.
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -30,6 +30,7 @@
 use crate::node::ownership::Ownership;
 use crate::node::peers::Peer;
 use crate::node::timeouts;
+use crate::node::trials::Trials;
 use crate::platform::Table;
 use crate::settings::{self, Settings, millis};
 
@@ -122,6 +123,8 @@
     pub(crate) lease_revision: Option<Revision>,
     pub(crate) ownership: Ownership,
     pub(crate) strikes: Strikes,
+    /// The requests that show which of several parts crashes workers.
+    pub(crate) trials: Trials,
     /// The parts of prompts against which the store holds evidence; `None` until it is read.
     pub(crate) stored_evidence: Option<BTreeSet<Combination>>,
     pub(crate) rng: SmallRng,
@@ -192,6 +195,7 @@
             lease_revision: None,
             ownership: Ownership::new(lease),
             strikes: Strikes::new(CONTAINMENT),
+            trials: Trials::default(),
             stored_evidence: None,
             rng,
             drain: None,
--- a/crates/cyclamen-route/src/containment/combination.rs
+++ b/crates/cyclamen-route/src/containment/combination.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::fmt;
+use std::sync::Arc;
 
 use crate::containment::{Part, fingerprint};
 
@@ -27,13 +28,18 @@
         self.0.iter()
     }
 
+    /// Returns whether a part is one of the combination.
+    pub fn contains(&self, part: &Part) -> bool {
+        self.0.contains(part)
+    }
+
     /// Returns whether a prompt with these parts has all parts of the combination.
     pub fn is_in(&self, prompt: &[Part]) -> bool {
         self.0.iter().all(|part| prompt.contains(part))
     }
 
     /// Returns a digest of the parts, which names the combination.
-    pub fn digest(&self) -> std::sync::Arc<str> {
+    pub fn digest(&self) -> Arc<str> {
         let ids: Vec<&str> = self.0.iter().map(Part::as_str).collect();
         fingerprint::digest(ids.join("\n").as_bytes())
     }
--- a/crates/cyclamen-route/src/containment/strikes.rs
+++ b/crates/cyclamen-route/src/containment/strikes.rs
@@ -143,6 +143,13 @@
         &self.parts.attribution().contained
     }
 
+    /// Returns which of these parts crashes do not tell apart from others.
+    pub fn undecided(&self, parts: &[Part]) -> Vec<Part> {
+        let combinations = || self.contained().iter().filter(|c| c.single().is_none());
+        let is_undecided = |part: &&Part| combinations().any(|c| c.contains(part));
+        parts.iter().filter(is_undecided).cloned().collect()
+    }
+
     /// Returns whether a prompt with these parts has a contained part, or all of a combination.
     fn has_contained(&self, parts: &[Part]) -> bool {
         self.contained().iter().any(|c| c.is_in(parts))
