--- a/crates/cyclamen-route/src/containment/strikes.rs
+++ b/crates/cyclamen-route/src/containment/strikes.rs
@@ -1,14 +1,15 @@
 //! The strikes recorded by an entry.
 
 mod gossip;
+mod record;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 use std::time::Duration;
 
 use cyclamen_types::Time;
 
 use crate::containment::parts::Parts;
+use crate::containment::strikes::record::{Insertion, Record};
 use crate::containment::{
     Answer, Combination, Crash, Decision, Fingerprint, Observation, Options, Part, Strike, Verdict,
 };
@@ -16,41 +17,6 @@
 /// Maximum number of stored strikes; beyond it the oldest are evicted.
 const MAX_STORED_STRIKES: usize = 4_096;
 
-/// The state of a recorded strike.
-#[derive(Debug, Clone)]
-struct Record {
-    recorded_at: Time,
-    /// The parts of the request's prompt that other requests may share.
-    parts: Arc<[Part]>,
-    /// Whether the request has received a complete response since.
-    cleared: bool,
-}
-
-impl Record {
-    /// Adds parts that are not known yet: of a stored strike, only those are kept that were
-    /// contained.
-    fn extend(&mut self, parts: &[Part]) -> Insertion {
-        let added = parts.iter().filter(|part| !self.parts.contains(part));
-        let added: Vec<&Part> = added.collect();
-        if added.is_empty() {
-            return Insertion::Known;
-        }
-        self.parts = self.parts.iter().chain(added).cloned().collect();
-        Insertion::Extended
-    }
-}
-
-/// What became of a strike.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Insertion {
-    /// It was not known.
-    New,
-    /// It was known with fewer parts.
-    Extended,
-    /// It was known.
-    Known,
-}
-
 /// The strikes recorded by an entry.
 #[derive(Debug)]
 pub struct Strikes {
--- a/crates/cyclamen-route/src/containment/strikes/gossip.rs
+++ b/crates/cyclamen-route/src/containment/strikes/gossip.rs
@@ -6,7 +6,8 @@
 
 use cyclamen_types::Time;
 
-use super::{Record, Strikes};
+use super::Strikes;
+use super::record::Record;
 use crate::containment::{Answer, Combination, Crash, Fingerprint, Part, Strike};
 
 impl Strikes {
