--- a/crates/cyclamen-gateway/src/frontend/buffered.rs
+++ b/crates/cyclamen-gateway/src/frontend/buffered.rs
@@ -120,7 +120,7 @@
             }
             Err(failure @ (Failure::Closed | Failure::Unknown)) => {
                 if let (Failure::Closed, Way::Worker(dispatch)) = (&failure, &way) {
-                    request.call.record_disconnect(dispatch, &request.trial);
+                    request.call.record_disconnect(dispatch, &request.stage);
                 }
                 request.may_have_run = true;
                 if !request.call.is_repeatable() || !request.try_spend_retry() {
--- a/crates/cyclamen-gateway/src/frontend/containment.rs
+++ b/crates/cyclamen-gateway/src/frontend/containment.rs
@@ -9,7 +9,7 @@
 use crate::frontend::call::Call;
 use crate::frontend::refusal::Refusal;
 use crate::frontend::request::Request;
-use crate::node;
+use crate::node::Canary;
 use crate::tasks;
 use crate::tasks::Suspect;
 
@@ -18,34 +18,34 @@
 /// Maximum length of the id of a part, in bytes.
 const MAX_PART_BYTES: usize = 64;
 /// The retry delay of requests while another one runs with the same undecided part.
-const TRIAL_RETRY_DELAY: Duration = Duration::from_millis(300);
+const CANARY_RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Whether a request has to run alone among those with its undecided parts.
+/// How far a request has come that may have undecided parts.
 #[derive(Clone, Default)]
-pub(super) enum Trial {
-    /// It was not sent yet with an undecided part.
+pub(super) enum Stage {
+    /// No worker was chosen for it while it had any.
     #[default]
-    None,
-    /// It may crash its worker.
-    Running(Arc<node::Trial>),
+    Unsent,
+    /// It is the canary of its undecided parts: it may crash its worker.
+    Canary(Arc<Canary>),
     /// A worker began to answer it.
-    Passed,
+    Begun,
 }
 
-impl Trial {
-    /// Returns the trial while the request may crash its worker.
-    fn running(&self) -> Option<Arc<node::Trial>> {
+impl Stage {
+    fn canary(&self) -> Option<Arc<Canary>> {
         match self {
-            Self::Running(trial) => Some(trial.clone()),
-            Self::None | Self::Passed => None,
+            Self::Canary(canary) => Some(canary.clone()),
+            Self::Unsent | Self::Begun => None,
         }
     }
 }
 
 impl Request {
-    /// Lets one request at a time run with a part that crashes do not tell apart from others.
-    pub(super) fn begin_trial(&mut self) -> Result<(), Refusal> {
-        if !matches!(self.trial, Trial::None) {
+    /// Makes the request the canary of its undecided parts, if it has any; refuses it while another
+    /// request is that.
+    pub(super) fn begin_canary(&mut self) -> Result<(), Refusal> {
+        if !matches!(self.stage, Stage::Unsent) {
             return Ok(());
         }
         let node = &self.call.node;
@@ -53,15 +53,15 @@
         if undecided.is_empty() {
             return Ok(());
         }
-        let busy = Refusal::retry_later("undecided_part", TRIAL_RETRY_DELAY);
-        let trial = node::Trial::begin(node, undecided).ok_or(busy)?;
-        self.trial = Trial::Running(Arc::new(trial));
+        let busy = Refusal::retry_later("undecided_part", CANARY_RETRY_DELAY);
+        let canary = Canary::begin(node, undecided).ok_or(busy)?;
+        self.stage = Stage::Canary(Arc::new(canary));
         Ok(())
     }
 
-    /// Ends the trial, if there is one, since a worker began to answer the request.
-    pub(super) fn pass_trial(&mut self) {
-        self.trial = Trial::Passed;
+    /// Records that a worker began to answer the request, which is no canary from then on.
+    pub(super) fn record_begin(&mut self) {
+        self.stage = Stage::Begun;
     }
 }
 
@@ -103,10 +103,10 @@
     /// Records that a worker, which may have crashed, closed the connection before its response or
     /// at the beginning of it.
     ///
-    /// The request's trial goes on until it is known whether the worker has.
-    pub(super) fn record_disconnect(&self, dispatch: &Dispatch, trial: &Trial) {
+    /// A canary stays one until it is known whether the worker has.
+    pub(super) fn record_disconnect(&self, dispatch: &Dispatch, stage: &Stage) {
         let suspect = Suspect {
-            trial: trial.running(),
+            canary: stage.canary(),
             id: self.id.clone(),
             fingerprint: self.fingerprint().clone(),
             parts: self.parts.clone(),
--- a/crates/cyclamen-gateway/src/frontend/request.rs
+++ b/crates/cyclamen-gateway/src/frontend/request.rs
@@ -15,7 +15,7 @@
 use crate::frontend::body::read_body;
 use crate::frontend::call::{Call, Prompt};
 use crate::frontend::check::{Checked, check, record_refused_head};
-use crate::frontend::containment::Trial;
+use crate::frontend::containment::Stage;
 use crate::frontend::refusal::Refusal;
 use crate::frontend::way::Way;
 use crate::handover::INTERNAL_HEADERS;
@@ -46,7 +46,7 @@
     /// How many of these times no worker ran it, by this entry or another one.
     not_run: u32,
     failed_connects: u32,
-    pub(super) trial: Trial,
+    pub(super) stage: Stage,
     finished: bool,
     /// What the head and the body take of the memory that requests share.
     memory: Upload,
@@ -148,7 +148,7 @@
             sent: 0,
             not_run: 0,
             failed_connects: 0,
-            trial: Trial::default(),
+            stage: Stage::default(),
             finished: false,
         }
     }
--- a/crates/cyclamen-gateway/src/frontend/request/choice.rs
+++ b/crates/cyclamen-gateway/src/frontend/request/choice.rs
@@ -26,7 +26,7 @@
     pub(crate) fn choose(&mut self) -> Result<Way, Refusal> {
         self.call.check_containment()?;
         self.check_drain()?;
-        self.begin_trial()?;
+        self.begin_canary()?;
         let way = self.choose_way()?;
         self.sent += 1;
         match &way {
--- a/crates/cyclamen-gateway/src/frontend/stream/relay.rs
+++ b/crates/cyclamen-gateway/src/frontend/stream/relay.rs
@@ -95,7 +95,7 @@
         let service = call.service_name().as_str();
         call.node.metrics.record_first_byte(service, wait);
         self.has_head = true;
-        self.request.pass_trial();
+        self.request.record_begin();
         Ok(head)
     }
 
@@ -289,7 +289,7 @@
         };
         match failure {
             Failure::Closed | Failure::Broken(_) if attempt.is_beginning(call.node.now()) => {
-                call.record_disconnect(dispatch, &self.request.trial);
+                call.record_disconnect(dispatch, &self.request.stage);
             }
             _ => {}
         }
--- a/crates/cyclamen-gateway/src/node.rs
+++ b/crates/cyclamen-gateway/src/node.rs
@@ -2,6 +2,7 @@
 
 mod activity;
 mod calls;
+mod canaries;
 mod containment;
 mod demand;
 mod era;
@@ -18,7 +19,6 @@
 mod suspicions;
 mod targets;
 mod timeouts;
-mod trials;
 mod updates;
 
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -36,6 +36,7 @@
 use crate::settings::Settings;
 
 pub(crate) use activity::ProbeCause;
+pub(crate) use canaries::Canary;
 pub(crate) use demand::GroupNeed;
 pub(crate) use limits::LimitSource;
 pub(crate) use ownership::OwnerRow;
@@ -45,7 +46,6 @@
 pub(crate) use reach::Receiver;
 pub(crate) use state::State;
 pub(crate) use targets::{Loss, TargetCount};
-pub(crate) use trials::Trial;
 pub(crate) use updates::{FOLLOWED_TABLES, Source};
 
 /// The timeout for connecting to workers and, to hand requests over, to other entries.
--- a/crates/cyclamen-gateway/src/node/state.rs
+++ b/crates/cyclamen-gateway/src/node/state.rs
@@ -23,6 +23,7 @@
 
 use crate::node::activity::Activity;
 use crate::node::calls::Calls;
+use crate::node::canaries::Canaries;
 use crate::node::demand::Following;
 use crate::node::era::Recovery;
 use crate::node::history::History;
@@ -30,7 +31,6 @@
 use crate::node::ownership::Ownership;
 use crate::node::peers::Peer;
 use crate::node::timeouts;
-use crate::node::trials::Trials;
 use crate::platform::Table;
 use crate::settings::{self, Settings, millis};
 
@@ -124,7 +124,7 @@
     pub(crate) ownership: Ownership,
     pub(crate) strikes: Strikes,
     /// The requests that show which of several parts crashes workers.
-    pub(crate) trials: Trials,
+    pub(crate) canaries: Canaries,
     /// The parts of prompts against which the store holds evidence; `None` until it is read.
     pub(crate) stored_evidence: Option<BTreeSet<Combination>>,
     pub(crate) rng: SmallRng,
@@ -195,7 +195,7 @@
             lease_revision: None,
             ownership: Ownership::new(lease),
             strikes: Strikes::new(CONTAINMENT),
-            trials: Trials::default(),
+            canaries: Canaries::default(),
             stored_evidence: None,
             rng,
             drain: None,
--- a/crates/cyclamen-gateway/src/tasks/crash.rs
+++ b/crates/cyclamen-gateway/src/tasks/crash.rs
@@ -8,7 +8,7 @@
 use cyclamen_route::containment::{Crash, Fingerprint, Part, Strike};
 use cyclamen_types::group::Fence;
 
-use crate::node::{Node, ProbeCause, Trial};
+use crate::node::{Canary, Node, ProbeCause};
 use crate::tasks::gossip_now;
 use crate::tasks::probe::{INITIAL_PROBES, responds};
 
@@ -18,8 +18,8 @@
     pub(crate) fingerprint: Fingerprint,
     /// The parts of its prompt that other requests may share.
     pub(crate) parts: Arc<[Part]>,
-    /// Its trial, which lasts until the strike is recorded.
-    pub(crate) trial: Option<Arc<Trial>>,
+    /// Set if it is a canary, which it stays until the strike is recorded.
+    pub(crate) canary: Option<Arc<Canary>>,
 }
 
 /// Records a strike against a request if its worker fails its probes.
@@ -56,7 +56,7 @@
             node.metrics.record_crash();
             gossip_now(&node);
         }
-        drop(suspect.trial);
+        drop(suspect.canary);
     };
     smol::spawn(confirming).detach();
 }
