gateway: a canary whose worker may have crashed keeps others waiting until that is known

The limit of a second, which is for silent workers, had passed while the probes that confirm a crash were still under way, and the next canary ran. Now the limit holds only until a worker closes the connection; the probes are bounded by their own timeouts.

--- a/crates/cyclamen-gateway/src/frontend/containment.rs
+++ b/crates/cyclamen-gateway/src/frontend/containment.rs
@@ -105,8 +105,12 @@
     ///
     /// A canary stays one until it is known whether the worker has.
     pub(super) fn record_disconnect(&self, dispatch: &Dispatch, stage: &Stage) {
+        let canary = stage.canary();
+        if let Some(canary) = &canary {
+            canary.record_disconnect();
+        }
         let suspect = Suspect {
-            canary: stage.canary(),
+            canary,
             id: self.id.clone(),
             fingerprint: self.fingerprint().clone(),
             parts: self.parts.clone(),
--- a/crates/cyclamen-gateway/src/node/canaries.rs
+++ b/crates/cyclamen-gateway/src/node/canaries.rs
@@ -17,26 +17,53 @@
 /// One request at a time runs with each part until its worker begins to answer, so that a burst of
 /// requests crashes few workers before the part that does it is known.
 #[derive(Debug, Default)]
-pub(crate) struct Canaries(BTreeMap<Part, Time>);
+pub(crate) struct Canaries(BTreeMap<Part, Run>);
+
+/// The run of a canary.
+#[derive(Debug, Clone, Copy)]
+struct Run {
+    began_at: Time,
+    /// Whether a worker has closed its connection, so that it is being probed.
+    may_have_crashed: bool,
+}
+
+impl Run {
+    /// Returns whether other requests with the part have to wait.
+    fn keeps_others(self, now: Time) -> bool {
+        self.may_have_crashed || now.since(self.began_at) < MAX_CANARY_DURATION
+    }
+}
 
 impl Canaries {
     /// Records a canary of these parts; returns false if one of them has another already.
     fn begin(&mut self, now: Time, parts: &[Part]) -> bool {
-        let is_free = |part| {
-            let began_at = self.0.get(part);
-            began_at.is_none_or(|at| now.since(*at) >= MAX_CANARY_DURATION)
-        };
-        if !parts.iter().all(is_free) {
+        let run = |part| self.0.get(part);
+        if parts
+            .iter()
+            .filter_map(run)
+            .any(|run| run.keeps_others(now))
+        {
             return false;
         }
-        self.0.extend(parts.iter().map(|part| (part.clone(), now)));
+        let run = Run {
+            began_at: now,
+            may_have_crashed: false,
+        };
+        self.0.extend(parts.iter().map(|part| (part.clone(), run)));
         true
     }
 
+    /// Records that the worker of the canary that began at a time may have crashed.
+    fn record_disconnect(&mut self, began_at: Time, parts: &[Part]) {
+        for (part, run) in &mut self.0 {
+            run.may_have_crashed |= run.began_at == began_at && parts.contains(part);
+        }
+    }
+
     /// Removes the canary that began at a time.
     fn end(&mut self, began_at: Time, parts: &[Part]) {
         self.0
-            .retain(|part, at| *at != began_at || !parts.contains(part));
+            .retain(|part, run| run.began_at != began_at || !parts.contains(part));
     }
 }
 
@@ -58,6 +85,12 @@
             parts,
         })
     }
+
+    /// Records that its worker may have crashed: others wait until that is known.
+    pub(crate) fn record_disconnect(&self) {
+        let mut state = self.node.state();
+        state.canaries.record_disconnect(self.began_at, &self.parts);
+    }
 }
 
 impl Drop for Canary {
