--- a/review/bed-3/main.rs
+++ b/review/bed-3/main.rs
@@ -5,10 +5,10 @@
 //! not run. With `TROUBLE=0` the disruption is left out.
 
 mod client;
+mod crowd;
 mod gateway;
 mod http;
 mod json;
-mod parts;
 mod record;
 mod requests;
 mod rollback;
@@ -26,9 +26,8 @@
     let folder = Path::new(folder);
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let result = match case.as_str() {
-        "routes" => requests::run(folder, requests::Trouble::Routes, trouble),
-        "restarts" => requests::run(folder, requests::Trouble::Restarts, trouble),
-        "parts" => parts::run(folder, trouble),
+        "routes" => requests::run(folder, trouble),
+        "crowd" => crowd::run(folder, trouble),
         "rollback" => rollback::run(folder, trouble),
         other => Err(format!("no case {other}")),
     };
