--- a/review/bed-3/client.rs
+++ b/review/bed-3/client.rs
@@ -11,8 +11,6 @@
 pub struct Answer {
     /// The status; zero if the connection ended without an answer.
     pub status: u16,
-    /// Whether its body is complete.
-    pub is_complete: bool,
 }
 
 const NO_ANSWER: u16 = 0;
@@ -24,10 +22,7 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> Answer {
-    exchange(to, (method, path), headers, body).unwrap_or(Answer {
-        status: NO_ANSWER,
-        is_complete: false,
-    })
+    exchange(to, (method, path), headers, body).unwrap_or(Answer { status: NO_ANSWER })
 }
 
 fn exchange(
@@ -54,9 +49,6 @@
     reader.read_line(&mut line).ok()?;
     let status = line.split_whitespace().nth(1)?.parse().ok()?;
     let headers = http::headers(&mut reader)?;
-    let is_complete = http::body(&mut reader, &headers).is_some();
-    Some(Answer {
-        status,
-        is_complete,
-    })
+    http::body(&mut reader, &headers);
+    Some(Answer { status })
 }
--- a/review/bed-3/requests.rs
+++ b/review/bed-3/requests.rs
@@ -24,15 +24,6 @@
 const BODY: &[u8] = b"the request that crashes workers";
 const ZONES: [&str; 3] = ["sofia-a", "sofia-b", "sofia-c"];
 
-/// What happens while the request comes again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Trouble {
-    /// New versions of the configuration split its route.
-    Routes,
-    /// All gateways are killed at the same moment, and start again.
-    Restarts,
-}
-
 /// Returns the configuration whose route of the request has a prefix of so many parts.
 fn configuration(version: usize) -> String {
     let prefixes = ["/book/", "/book/spring/", "/book/spring/herd/"];
@@ -58,7 +49,7 @@
 }
 
 /// Runs the case; returns whether the rule was broken.
-pub fn run(folder: &Path, kind: Trouble, trouble: bool) -> Result<bool, String> {
+pub fn run(folder: &Path, trouble: bool) -> Result<bool, String> {
     let record = Record::create(folder)?;
     let temporary = Temporary::create()?;
     let store = Store::start();
@@ -93,44 +84,16 @@
     std::thread::sleep(CONTACT);
     for version in [2, 3] {
         if trouble {
-            disturb(&record, &store, &mut gateways, kind, version)?;
-        }
-        // Later than `config_ms` after the version was acknowledged, or `contact_ms` after the machines
-        // are back.
-        std::thread::sleep(CONTACT + Duration::from_millis(500));
-        sender.send(&gateways, 4);
-    }
-    sender.judge()
-}
-
-fn disturb(
-    record: &Record,
-    store: &Store,
-    gateways: &mut [Gateway],
-    kind: Trouble,
-    version: usize,
-) -> Result<(), String> {
-    match kind {
-        Trouble::Routes => {
             store.put("op", "config", &configuration(version));
             record.write(format!(
                 "the store acknowledges version {version}, which splits the route"
             ));
         }
-        Trouble::Restarts => {
-            gateways.iter_mut().for_each(Gateway::kill);
-            record.write("all gateways are killed");
-            std::thread::sleep(Duration::from_millis(500));
-            for gateway in gateways.iter_mut() {
-                gateway.restart()?;
-            }
-            for gateway in gateways.iter() {
-                gateway.wait_until_ready()?;
-            }
-            record.write("all gateways are back");
-        }
+        // Later than `config_ms` after the version was acknowledged.
+        std::thread::sleep(CONTACT + Duration::from_millis(500));
+        sender.send(&gateways, 4);
     }
-    Ok(())
+    sender.judge()
 }
 
 /// The caller of the request.
--- a/review/bed-3/worker.rs
+++ b/review/bed-3/worker.rs
@@ -29,8 +29,6 @@
     pub at: Instant,
     pub worker: String,
     pub request: Request,
-    /// Whether the worker crashed by it.
-    pub crashed: bool,
 }
 
 /// What all workers share.
@@ -330,7 +328,6 @@
                 at: Instant::now(),
                 worker: self.id.clone(),
                 request: request.clone(),
-                crashed,
             });
         if crashed {
             std::thread::sleep(Duration::from_millis(10));
