--- a/review/bed-3/rollback.rs
+++ b/review/bed-3/rollback.rs
@@ -23,7 +23,7 @@
 const AWAY: Duration = Duration::from_millis(500);
 /// The time after the store's return at which workers write their rows again; the pages say about two
 /// seconds.
-const LISTED_AGAIN: Duration = Duration::from_millis(1_200);
+const LISTED_AGAIN: Duration = Duration::from_millis(1_700);
 
 fn configuration() -> String {
     r#"{"version":1,"routes":[{"name":"r-1","host":"site.example","prefix":"/sum/","route_type":"streaming",
